Serve a request through one daemon to an engine stand-in

Cause: the project needs a frame that every later part builds on. A streamed answer is relayed and can be resumed by its event id.

--- /dev/null
+++ b/core/lwtstate/change.go
@@ -0,0 +1,44 @@
+package lwtstate
+
+// Change is the content of an accepted ticket: the complete new state of each
+// object it touches.
+type Change struct {
+	// Number is the number of the state that the change leads to.
+	Number     int64       `json:"number"               toml:"-"`
+	Engines    []Engine    `json:"engines,omitempty"    toml:"engine"`
+	Models     []Model     `json:"models,omitempty"     toml:"model"`
+	Adapters   []Adapter   `json:"adapters,omitempty"   toml:"adapter"`
+	Callers    []Caller    `json:"callers,omitempty"    toml:"caller"`
+	Services   []Service   `json:"services,omitempty"   toml:"service"`
+	Objectives []Objective `json:"objectives,omitempty" toml:"objective"`
+	// Remove lists the objects that cease to exist.
+	Remove []ObjectID `json:"remove,omitempty" toml:"remove"`
+}
+
+// WithNumber returns the change with another number.
+func (change Change) WithNumber(number int64) Change {
+	change.Number = number
+	return change
+}
+
+// Objects returns the identifiers of all objects that the change touches, in
+// the order of the fields.
+func (change Change) Objects() []ObjectID {
+	var ids []ObjectID
+	ids = appendIDs(ids, KindEngine, change.Engines, Engine.key)
+	ids = appendIDs(ids, KindModel, change.Models, Model.key)
+	ids = appendIDs(ids, KindAdapter, change.Adapters, Adapter.key)
+	ids = appendIDs(ids, KindCaller, change.Callers, Caller.key)
+	ids = appendIDs(ids, KindService, change.Services, Service.key)
+	for _, objective := range change.Objectives {
+		ids = append(ids, ID(KindObjective, string(objective.Class)))
+	}
+	return append(ids, change.Remove...)
+}
+
+func appendIDs[V any](ids []ObjectID, kind Kind, values []V, key func(V) string) []ObjectID {
+	for _, value := range values {
+		ids = append(ids, ID(kind, key(value)))
+	}
+	return ids
+}
--- /dev/null
+++ b/io/lwtcommand/command.go
@@ -0,0 +1,76 @@
+// Package lwtcommand is the command line of lacewingtide.
+package lwtcommand
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes of the command.
+const (
+	ExitDone   = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// streams are where commands write.
+type streams struct {
+	out io.Writer
+	err io.Writer
+}
+
+// Main runs the command line and returns its exit code.
+func Main(args []string, out, errors io.Writer) int {
+	streams := streams{out: out, err: errors}
+	parser := flags.NewNamedParser("lacewingtide", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Lacewingtide serves model requests for a fixed fleet of engines.\n\n" +
+		"Exit codes: 0 done, 1 refused or failed, 2 wrong usage."
+	for _, command := range commands(streams) {
+		if _, err := parser.AddCommand(command.name, command.short, command.long, command.data); err != nil {
+			return streams.fail(err)
+		}
+	}
+	_, err := parser.ParseArgs(args)
+	return streams.exit(err)
+}
+
+type command struct {
+	name, short, long string
+	data              any
+}
+
+func commands(streams streams) []command {
+	return []command{
+		{"serve", "run an entry daemon", "Runs one entry daemon until SIGINT or SIGTERM.", &serveCommand{streams: streams}},
+		{"check", "check a settings file", "Checks a settings file and prints all problems.", &checkCommand{streams: streams}},
+		{"stand-in", "run a stand-in", "Runs a stand-in for a system outside lacewingtide.", &standInCommand{streams: streams}},
+	}
+}
+
+func (streams streams) exit(err error) int {
+	var flagsError *flags.Error
+	switch {
+	case err == nil:
+		return ExitDone
+	case errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp:
+		streams.print(streams.out, flagsError.Message)
+		return ExitDone
+	case errors.As(err, &flagsError):
+		streams.print(streams.err, flagsError.Message)
+		return ExitUsage
+	}
+	return streams.fail(err)
+}
+
+func (streams streams) fail(err error) int {
+	streams.print(streams.err, "lacewingtide: "+err.Error())
+	return ExitFailed
+}
+
+func (streams streams) print(w io.Writer, text string) {
+	// Nothing can be told when the terminal is gone.
+	_, _ = fmt.Fprintln(w, text)
+}
--- /dev/null
+++ b/io/lwtdaemon/daemon.go
@@ -0,0 +1,130 @@
+// Package lwtdaemon builds one entry daemon and its supervisor tree.
+package lwtdaemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+
+	"github.com/go-kit/log"
+	"github.com/thejerf/suture/v4"
+
+	"lacewingtide/core/lwtstate"
+	"lacewingtide/io/lwtengine"
+	"lacewingtide/io/lwtentry"
+	"lacewingtide/io/lwtlog"
+	"lacewingtide/io/lwtplatform"
+	"lacewingtide/io/lwtsetting"
+)
+
+// Listeners are the open sockets of a daemon.
+type Listeners struct {
+	Entry    net.Listener
+	Peer     net.Listener
+	Operator net.Listener
+}
+
+// Listen opens the sockets that the settings name.
+func Listen(settings lwtsetting.Settings) (Listeners, error) {
+	var listeners Listeners
+	var err error
+	if listeners.Entry, err = net.Listen("tcp", settings.EntryAddress); err != nil {
+		return listeners, fmt.Errorf("listen for callers: %w", err)
+	}
+	if listeners.Peer, err = net.Listen("tcp", settings.PeerAddress); err != nil {
+		return listeners, fmt.Errorf("listen for peers: %w", err)
+	}
+	if listeners.Operator, err = net.Listen("tcp", settings.OperatorAddress); err != nil {
+		return listeners, fmt.Errorf("listen for operators: %w", err)
+	}
+	return listeners, nil
+}
+
+// Daemon is one entry daemon.
+type Daemon struct {
+	settings  lwtsetting.Settings
+	logger    log.Logger
+	listeners Listeners
+	declared  *declared
+	router    *router
+	entry     *lwtentry.Server
+	platform  *lwtplatform.Client
+	engines   *lwtengine.Client
+}
+
+// New returns a daemon that serves on open listeners.
+func New(settings lwtsetting.Settings, listeners Listeners, logger log.Logger) *Daemon {
+	daemon := &Daemon{
+		settings:  settings,
+		logger:    log.With(logger, "daemon", settings.Name),
+		listeners: listeners,
+		platform:  lwtplatform.New(settings.Platform.Address, settings.Platform.Timeout.Std()),
+		engines:   lwtengine.New(),
+	}
+	daemon.declared = newDeclared(daemon.platform, daemon.logger)
+	daemon.router = newRouter(daemon.declared)
+	daemon.entry = lwtentry.New(lwtentry.Dependencies{
+		Declared:         daemon.declared,
+		Router:           daemon.router,
+		Limiter:          openLimiter{},
+		Addresses:        ownAddress{settings.EntryAddress},
+		Observer:         discardObserver{},
+		Services:         newForwarder(daemon.logger),
+		Engines:          daemon.engines,
+		Logger:           daemon.logger,
+		StreamKey:        []byte(settings.PeerKey),
+		Name:             settings.Name,
+		AvailabilityZone: settings.AvailabilityZone,
+	})
+	return daemon
+}
+
+// Run serves until ctx ends, then shuts down gracefully.
+func (daemon *Daemon) Run(ctx context.Context) error {
+	supervisor := suture.New("daemon "+daemon.settings.Name, suture.Spec{EventHook: daemon.supervised})
+	supervisor.Add(daemon.declared)
+	supervisor.Add(serverPart{"entry", func() error { return daemon.entry.Serve(daemon.listeners.Entry) }})
+	lwtlog.Info(daemon.logger, "daemon-started", "entry-address", daemon.listeners.Entry.Addr(),
+		"availability-zone", daemon.settings.AvailabilityZone)
+	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ended := supervisor.ServeBackground(parts)
+	<-ctx.Done()
+	err := daemon.entry.Shutdown()
+	stop()
+	if ended := <-ended; !errors.Is(ended, context.Canceled) {
+		lwtlog.Warn(daemon.logger, "supervisor-ended", "err", ended)
+	}
+	lwtlog.Info(daemon.logger, "daemon-stopped", "err", err)
+	return err
+}
+
+func (daemon *Daemon) supervised(event suture.Event) {
+	lwtlog.Warn(daemon.logger, "part-event", "detail", event.String())
+}
+
+// State returns the declared state in force.
+func (daemon *Daemon) State() (lwtstate.State, bool) { return daemon.declared.State() }
+
+// serverPart runs a server in the supervisor tree. The server is stopped by
+// its own shutdown, so the part outlives its context until then.
+type serverPart struct {
+	name  string
+	serve func() error
+}
+
+// Serve implements suture.Service.
+func (part serverPart) Serve(ctx context.Context) error {
+	failed := make(chan error, 1)
+	go func() { failed <- part.serve() }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// String names the part in logs.
+func (part serverPart) String() string { return part.name }
--- /dev/null
+++ b/io/lwtdaemon/path_test.go
@@ -0,0 +1,182 @@
+package lwtdaemon_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"lacewingtide/core/lwtstate"
+	"lacewingtide/io/lwtdaemon"
+	"lacewingtide/io/lwtentry"
+	"lacewingtide/io/lwtplatform"
+	"lacewingtide/io/lwtsetting"
+	"lacewingtide/io/lwtstandin"
+)
+
+const callerKey = "caller-key-1"
+
+// fleet is one daemon before one engine on loopback.
+type fleet struct {
+	entry    string
+	platform *lwtstandin.Platform
+	engine   *lwtstandin.Engine
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+func newFleet(t *testing.T) fleet {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	platform, platformListener := lwtstandin.NewPlatform(), listen(t)
+	go func() { _ = platform.Serve(platformListener) }()
+	engine, engineListener := lwtstandin.NewEngine(lwtstandin.DefaultEngineOptions("e1", "m"), 1), listen(t)
+	go func() { _ = engine.Serve(engineListener) }()
+	go func() { _ = engine.Run(ctx) }()
+	declare(t, platform, engineListener.Addr().String())
+	listeners := lwtdaemon.Listeners{Entry: listen(t), Peer: listen(t), Operator: listen(t)}
+	settings := lwtsetting.Default()
+	settings.Name, settings.AvailabilityZone = "d1", "z1"
+	settings.EntryAddress = listeners.Entry.Addr().String()
+	settings.PeerKey = "0123456789abcdef"
+	settings.Platform.Address = platformListener.Addr().String()
+	go func() { _ = lwtdaemon.New(settings, listeners, log.NewNopLogger()).Run(ctx) }()
+	return fleet{entry: "http://" + settings.EntryAddress, platform: platform, engine: engine}
+}
+
+func declare(t *testing.T, platform *lwtstandin.Platform, engine string) {
+	t.Helper()
+	state := lwtstate.New().WithChange(lwtstate.Change{
+		Number:  1,
+		Engines: []lwtstate.Engine{{Name: "e1", Address: engine, Role: lwtstate.RoleMixed, Models: []string{"m"}}},
+		Models:  []lwtstate.Model{{Name: "m", Version: "1"}},
+		Callers: []lwtstate.Caller{{Name: "c1", KeyHash: lwtentry.KeyHash(callerKey), Models: []string{"m"}}},
+	})
+	value, err := json.Marshal(state)
+	if err != nil {
+		t.Fatal(err)
+	}
+	platform.Table().Commit(lwtplatform.Transaction{Puts: []lwtplatform.Put{{Key: "config/head", Value: value}}})
+}
+
+func (fleet fleet) post(t *testing.T, body string, headers ...string) *http.Response {
+	t.Helper()
+	for range 100 {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost,
+			fleet.entry+"/v1/chat/completions", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("Authorization", "Bearer "+callerKey)
+		for i := 0; i < len(headers); i += 2 {
+			request.Header.Set(headers[i], headers[i+1])
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = response.Body.Close() })
+		if response.StatusCode != http.StatusServiceUnavailable {
+			return response
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Fatal("the daemon never became ready")
+	return nil
+}
+
+// TestUnstreamedAnswerIsWhole guards against an answer that lacks tokens.
+func TestUnstreamedAnswerIsWhole(t *testing.T) {
+	response := newFleet(t).post(t, `{"model":"m","messages":[{"role":"user","content":"hello"}],"max_tokens":20}`)
+	body, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("status %d, error %v, body %s", response.StatusCode, err, body)
+	}
+	content, err := json.Marshal(lwtstandin.Answer("hello", 20))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Contains(body, content) {
+		t.Errorf("body %s lacks %s", body, content)
+	}
+}
+
+// TestStreamResumesAfterAnEvent guards against tokens lost or repeated when a
+// caller takes up a broken stream again.
+func TestStreamResumesAfterAnEvent(t *testing.T) {
+	const request = `{"model":"m","messages":[{"role":"user","content":"hello"}],"max_tokens":20,"stream":true}`
+	fleet := newFleet(t)
+	first, id := readEvents(t, fleet.post(t, request).Body, 7)
+	second, _ := readEvents(t, fleet.post(t, "", "Last-Event-ID", id).Body, 0)
+	if got, want := first+second, lwtstandin.Answer("hello", 20); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// TestForgedEventIDIsRefused guards against reading another caller's stream.
+func TestForgedEventIDIsRefused(t *testing.T) {
+	response := newFleet(t).post(t, "", "Last-Event-ID", "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA")
+	if response.StatusCode != http.StatusBadRequest || response.Header.Get(lwtentry.HeaderOutcome) != "not-run" {
+		t.Errorf("status %d, headers %v", response.StatusCode, response.Header)
+	}
+}
+
+// readEvents reads events until the given number (0: all) and returns their
+// text and the last event id.
+func readEvents(t *testing.T, body io.Reader, most int) (text, id string) {
+	t.Helper()
+	scanner := bufio.NewScanner(body)
+	for events := 0; scanner.Scan(); {
+		if value, found := strings.CutPrefix(scanner.Text(), "id: "); found {
+			id = value
+		}
+		data, found := strings.CutPrefix(scanner.Text(), "data: ")
+		if !found {
+			continue
+		}
+		if data == "[DONE]" {
+			return text, id
+		}
+		text += eventText(t, data)
+		if events++; events == most {
+			return text, id
+		}
+	}
+	t.Fatalf("the stream ended early: %v", scanner.Err())
+	return text, id
+}
+
+func eventText(t *testing.T, data string) string {
+	t.Helper()
+	var chunk struct {
+		Choices []struct {
+			Delta struct {
+				Content string `json:"content"`
+			} `json:"delta"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+		t.Fatalf("event %q: %v", data, err)
+	}
+	if len(chunk.Choices) == 0 {
+		return ""
+	}
+	return chunk.Choices[0].Delta.Content
+}
--- /dev/null
+++ b/io/lwtengine/progress.go
@@ -0,0 +1,38 @@
+package lwtengine
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+)
+
+// progressConn fails a read or write that makes no progress within
+// ProgressTimeout. Engines send a keep-alive each second, so a longer silence
+// means that the connection is lost.
+type progressConn struct {
+	net.Conn
+}
+
+// Read implements net.Conn.
+func (conn *progressConn) Read(buffer []byte) (int, error) {
+	if err := conn.SetReadDeadline(time.Now().Add(ProgressTimeout)); err != nil {
+		return 0, err
+	}
+	return conn.Conn.Read(buffer)
+}
+
+// Write implements net.Conn.
+func (conn *progressConn) Write(buffer []byte) (int, error) {
+	if err := conn.SetWriteDeadline(time.Now().Add(ProgressTimeout)); err != nil {
+		return 0, err
+	}
+	return conn.Conn.Write(buffer)
+}
+
+func classify(err error) error {
+	if errors.Is(err, ErrNotSent) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrUnknown, err)
+}
--- /dev/null
+++ b/io/lwtentry/auth.go
@@ -0,0 +1,48 @@
+package lwtentry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"lacewingtide/core/lwtstate"
+)
+
+// KeyHash returns the form in which a key is kept in the declared state.
+func KeyHash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+func authenticate(ctx *fasthttp.RequestCtx, state lwtstate.State) (lwtstate.Caller, bool) {
+	key, found := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
+	if !found {
+		return lwtstate.Caller{}, false
+	}
+	return state.CallerByKeyHash(KeyHash(key))
+}
+
+func contains(names []string, name string) bool { return slices.Contains(names, name) }
+
+func handleModels(ctx *fasthttp.RequestCtx, state lwtstate.State, caller lwtstate.Caller) {
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		OwnedBy string `json:"owned_by"`
+	}
+	models := []model{}
+	for _, name := range slices.Sorted(maps.Keys(state.Models)) {
+		if contains(caller.Models, name) {
+			models = append(models, model{ID: name, Object: "model", OwnedBy: "lacewingtide"})
+		}
+	}
+	writeJSON(ctx, struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{"list", models})
+}
--- /dev/null
+++ b/io/lwtentry/server.go
@@ -0,0 +1,194 @@
+// Package lwtentry serves callers over HTTP: chat completions in OpenAI's
+// form, plain services, and the addresses to use.
+package lwtentry
+
+import (
+	"net"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/valyala/fasthttp"
+
+	"lacewingtide/core/lwtrouter"
+	"lacewingtide/core/lwtstate"
+	"lacewingtide/io/lwtengine"
+	"lacewingtide/io/lwtlog"
+)
+
+// Declared gives the declared state in force. Its second result is false
+// before a first state is known.
+type Declared interface {
+	State() (lwtstate.State, bool)
+}
+
+// Router chooses engines and learns what became of the work it placed.
+type Router interface {
+	// Pick places a request on an engine. It returns a
+	// *lwtadmission.Rejection when no engine can serve it in time, and
+	// lwtrouter.ErrNoEngine when none serves the model.
+	Pick(now time.Time, request lwtrouter.Request) (lwtrouter.Choice, error)
+	// Report takes a load report of an engine.
+	Report(now time.Time, engine string, load lwtengine.Load)
+	// Done tells that a placed request has left its engine; failed says that
+	// the engine gave no whole answer.
+	Done(now time.Time, request lwtrouter.Request, choice lwtrouter.Choice, failed bool)
+}
+
+// Limiter bounds each caller's requests.
+type Limiter interface {
+	// Take admits one request and returns what to call at its end. It
+	// returns a *lwtadmission.Rejection when a limit is reached.
+	Take(now time.Time, caller lwtstate.Caller) (release func(), err error)
+}
+
+// Addresses answers which entry addresses a caller should use.
+type Addresses interface {
+	// Answer returns addresses (IP:port), best first, and the time for which
+	// the answer may be kept.
+	Answer(now time.Time, caller string) (addresses []string, keep time.Duration)
+}
+
+// Observer is told the end of each request.
+type Observer interface {
+	Observe(now time.Time, result Result)
+}
+
+// Result is what became of one request.
+type Result struct {
+	Caller     string
+	Class      lwtstate.Class
+	Engine     string
+	FirstToken time.Duration
+	Whole      time.Duration
+	// Outcome is "done", "not-run" or "unknown".
+	Outcome string
+}
+
+// Services forwards calls to plain services.
+type Services interface {
+	// Forward serves one call. Path is the path below the service's name,
+	// with a leading slash.
+	Forward(ctx *fasthttp.RequestCtx, requestID string, caller lwtstate.Caller, service lwtstate.Service, path string)
+}
+
+// Dependencies are the parts that a Server works with.
+type Dependencies struct {
+	Declared  Declared
+	Router    Router
+	Limiter   Limiter
+	Addresses Addresses
+	Observer  Observer
+	Services  Services
+	Engines   *lwtengine.Client
+	Logger    log.Logger
+	// StreamKey authenticates event ids; all daemons share it.
+	StreamKey []byte
+	// Name identifies the daemon in request ids.
+	Name             string
+	AvailabilityZone string
+}
+
+// Bounds of callers' requests.
+const (
+	maxBodyBytes    = 8 << 20
+	maxHeaderBytes  = 32 << 10
+	readTimeout     = 15 * time.Second
+	idleTimeout     = 75 * time.Second
+	maxConnections  = 16384
+	servicesPath    = "/services/"
+	completionsPath = "/v1/chat/completions"
+)
+
+// Server serves callers.
+type Server struct {
+	dependencies Dependencies
+	ids          *idSource
+	http         *fasthttp.Server
+}
+
+// New returns a server.
+func New(dependencies Dependencies) *Server {
+	server := &Server{dependencies: dependencies, ids: newIDSource(dependencies.Name)}
+	server.http = &fasthttp.Server{
+		Handler:               server.handle,
+		ErrorHandler:          handleProtocolError,
+		MaxRequestBodySize:    maxBodyBytes,
+		ReadBufferSize:        maxHeaderBytes,
+		ReadTimeout:           readTimeout,
+		IdleTimeout:           idleTimeout,
+		Concurrency:           maxConnections,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+	}
+	return server
+}
+
+// Serve answers callers on a listener until Shutdown is called.
+func (server *Server) Serve(listener net.Listener) error {
+	return server.http.Serve(listener)
+}
+
+// Shutdown stops accepting connections and waits for running requests.
+func (server *Server) Shutdown() error {
+	return server.http.Shutdown()
+}
+
+func (server *Server) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	if path == "/healthz" {
+		return
+	}
+	state, known := server.dependencies.Declared.State()
+	if !known {
+		writeError(ctx, errNoState)
+		return
+	}
+	caller, known := authenticate(ctx, state)
+	if !known {
+		writeError(ctx, errKey)
+		return
+	}
+	switch {
+	case path == completionsPath:
+		server.handleCompletion(ctx, state, caller)
+	case path == "/v1/models":
+		handleModels(ctx, state, caller)
+	case path == "/v1/entry-addresses":
+		server.handleAddresses(ctx, caller)
+	case strings.HasPrefix(path, servicesPath):
+		server.handleService(ctx, state, caller, strings.TrimPrefix(path, servicesPath))
+	default:
+		writeError(ctx, errPath)
+	}
+}
+
+func (server *Server) handleAddresses(ctx *fasthttp.RequestCtx, caller lwtstate.Caller) {
+	addresses, keep := server.dependencies.Addresses.Answer(time.Now(), caller.Name)
+	writeJSON(ctx, struct {
+		Addresses   []string `json:"entry-addresses"`
+		KeepSeconds int      `json:"keep-seconds"`
+	}{addresses, int(keep / time.Second)})
+}
+
+func (server *Server) handleService(
+	ctx *fasthttp.RequestCtx, state lwtstate.State, caller lwtstate.Caller, rest string,
+) {
+	name, path, _ := strings.Cut(rest, "/")
+	service, found := state.Services[name]
+	if !found || !contains(caller.Services, name) {
+		writeError(ctx, errService)
+		return
+	}
+	release, err := server.dependencies.Limiter.Take(time.Now(), caller)
+	if err != nil {
+		writeError(ctx, rejectionError(err))
+		return
+	}
+	defer release()
+	server.dependencies.Services.Forward(ctx, server.ids.next(), caller, service, "/"+path)
+}
+
+func (server *Server) log(id, event string, keyvals ...any) {
+	lwtlog.Info(server.dependencies.Logger, event, append([]any{"request", id}, keyvals...)...)
+}
--- /dev/null
+++ b/io/lwtloop/loop.go
@@ -0,0 +1,86 @@
+// Package lwtloop drives the pure models of core: it feeds messages to a model
+// one at a time and carries out the commands that the model returns.
+package lwtloop
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Model is a pure state machine. Update returns the next model and the
+// commands to carry out; it does no I/O and keeps no reference to msg.
+type Model[M any, Msg any, Cmd any] interface {
+	Update(now time.Time, msg Msg) (M, []Cmd)
+}
+
+// Loop owns one model.
+type Loop[M Model[M, Msg, Cmd], Msg any, Cmd any] struct {
+	messages chan Msg
+	execute  func(context.Context, Cmd)
+	mutex    sync.RWMutex
+	model    M
+}
+
+// New returns a loop that starts with a model and hands each command to
+// execute. Execute must not block: it starts the work and sends its result.
+func New[M Model[M, Msg, Cmd], Msg any, Cmd any](
+	model M, queue int, execute func(context.Context, Cmd),
+) *Loop[M, Msg, Cmd] {
+	return &Loop[M, Msg, Cmd]{messages: make(chan Msg, queue), execute: execute, model: model}
+}
+
+// Send queues a message. It reports false when ctx ends first.
+func (loop *Loop[M, Msg, Cmd]) Send(ctx context.Context, msg Msg) bool {
+	select {
+	case loop.messages <- msg:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Model returns the current model.
+func (loop *Loop[M, Msg, Cmd]) Model() M {
+	loop.mutex.RLock()
+	defer loop.mutex.RUnlock()
+	return loop.model
+}
+
+// Serve updates the model with each message until ctx ends. It implements
+// suture.Service.
+func (loop *Loop[M, Msg, Cmd]) Serve(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case msg := <-loop.messages:
+			loop.update(ctx, msg)
+		}
+	}
+}
+
+func (loop *Loop[M, Msg, Cmd]) update(ctx context.Context, msg Msg) {
+	next, cmds := loop.model.Update(time.Now(), msg)
+	loop.mutex.Lock()
+	loop.model = next
+	loop.mutex.Unlock()
+	for _, cmd := range cmds {
+		loop.execute(ctx, cmd)
+	}
+}
+
+// Tick sends a message made from the time at each interval until ctx ends. A
+// tick that comes while the queue is full waits, and later ones are dropped.
+func Tick(ctx context.Context, interval time.Duration, send func(time.Time)) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			send(now)
+		}
+	}
+}
--- /dev/null
+++ b/io/lwtplatform/client.go
@@ -0,0 +1,175 @@
+// Package lwtplatform is the client of the platform's table service, object
+// store and VM list.
+package lwtplatform
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Errors of the platform's services.
+var (
+	// ErrUnavailable reports that no answer came. A transaction may have taken effect.
+	ErrUnavailable = fmt.Errorf("the platform's store gave no answer")
+	// ErrNotFound reports that the row or object does not exist.
+	ErrNotFound = fmt.Errorf("not found in the platform's store")
+	// ErrRejected reports that the store refused the request as malformed.
+	ErrRejected = fmt.Errorf("the platform's store refused the request")
+)
+
+// Row is one row of the table. Version 0 means that the row does not exist.
+type Row struct {
+	Key     string          `json:"key"`
+	Version int64           `json:"version"`
+	Value   json.RawMessage `json:"value"`
+}
+
+// Condition holds when a row has the given version; version 0 means absent.
+type Condition struct {
+	Key     string `json:"key"`
+	Version int64  `json:"version"`
+}
+
+// Put writes a row.
+type Put struct {
+	Key   string          `json:"key"`
+	Value json.RawMessage `json:"value"`
+}
+
+// Transaction is applied whole if all its conditions hold, else not at all.
+type Transaction struct {
+	Conditions []Condition `json:"conditions"`
+	Puts       []Put       `json:"puts"`
+	Deletes    []string    `json:"deletes,omitempty"`
+}
+
+// Result tells whether a transaction was applied.
+type Result struct {
+	Committed bool `json:"committed"`
+	// Version is the version of the rows written, when committed.
+	Version int64 `json:"version"`
+	// Rows are the current rows of the conditions, when not committed.
+	Rows []Row `json:"rows"`
+}
+
+// VM is one entry of the VM list.
+type VM struct {
+	Name             string `json:"name"`
+	Address          string `json:"address"`
+	AvailabilityZone string `json:"availability-zone"`
+	// State is "live" or "leaving".
+	State string `json:"state"`
+}
+
+// Client calls the platform's services. It makes one attempt per call and is
+// safe for concurrent use.
+type Client struct {
+	address string
+	timeout time.Duration
+	http    *fasthttp.HostClient
+}
+
+// New returns a client of the services at an address (IP:port). Each call ends
+// within the timeout.
+func New(address string, timeout time.Duration) *Client {
+	return &Client{
+		address: address,
+		timeout: timeout,
+		http: &fasthttp.HostClient{
+			Addr:                      address,
+			MaxConns:                  maxConnections,
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr:                neverRetry,
+		},
+	}
+}
+
+const maxConnections = 64
+
+func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
+
+// Commit sends a transaction. On ErrUnavailable the transaction may or may not
+// have been applied.
+func (client *Client) Commit(transaction Transaction) (Result, error) {
+	var result Result
+	body, err := json.Marshal(transaction)
+	if err != nil {
+		return result, fmt.Errorf("encode transaction: %w", err)
+	}
+	err = client.call(fasthttp.MethodPost, "/v1/transactions", body, &result)
+	return result, err
+}
+
+// Row reads one row. It returns ErrNotFound when there is none.
+func (client *Client) Row(key string) (Row, error) {
+	var row Row
+	err := client.call(fasthttp.MethodGet, "/v1/rows?key="+url.QueryEscape(key), nil, &row)
+	return row, err
+}
+
+// Rows reads the rows whose keys start with a prefix, sorted by key.
+func (client *Client) Rows(prefix string) ([]Row, error) {
+	var result struct {
+		Rows []Row `json:"rows"`
+	}
+	err := client.call(fasthttp.MethodGet, "/v1/rows?prefix="+url.QueryEscape(prefix), nil, &result)
+	return result.Rows, err
+}
+
+// PutObject stores an object under its hash.
+func (client *Client) PutObject(hash string, content []byte) error {
+	return client.call(fasthttp.MethodPut, "/v1/objects/"+hash, content, nil)
+}
+
+// Object reads an object. It returns ErrNotFound when there is none.
+func (client *Client) Object(hash string) ([]byte, error) {
+	var content json.RawMessage
+	err := client.call(fasthttp.MethodGet, "/v1/objects/"+hash, nil, &content)
+	return content, err
+}
+
+// VMs reads the VM list, which lags behind reality.
+func (client *Client) VMs() ([]VM, error) {
+	var result struct {
+		VMs []VM `json:"vms"`
+	}
+	err := client.call(fasthttp.MethodGet, "/v1/vms", nil, &result)
+	return result.VMs, err
+}
+
+func (client *Client) call(method, path string, body []byte, into any) error {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + client.address + path)
+	request.SetBodyRaw(body)
+	if err := client.http.DoTimeout(request, response, client.timeout); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return decode(response, into)
+}
+
+func decode(response *fasthttp.Response, into any) error {
+	switch status := response.StatusCode(); {
+	case status == fasthttp.StatusNotFound:
+		return ErrNotFound
+	case status >= fasthttp.StatusInternalServerError:
+		return fmt.Errorf("%w: status %d", ErrUnavailable, status)
+	case status == fasthttp.StatusConflict, status < fasthttp.StatusMultipleChoices:
+	default:
+		return fmt.Errorf("%w: status %d", ErrRejected, status)
+	}
+	if into == nil {
+		return nil
+	}
+	// RawMessage copies the body, which returns to a pool with the response.
+	if err := json.Unmarshal(response.Body(), into); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/lwtstandin/service.go
@@ -0,0 +1,69 @@
+package lwtstandin
+
+import (
+	"fmt"
+	"net"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Shop is a stand-in for a shop order server. It counts how often each order
+// ran, by the order's Idempotency-Key or, without one, by its body.
+type Shop struct {
+	name   string
+	mutex  sync.Mutex
+	orders map[string]int
+}
+
+// NewShop returns a shop order server without orders.
+func NewShop(name string) *Shop {
+	return &Shop{name: name, orders: map[string]int{}}
+}
+
+// Orders returns how often each order ran.
+func (shop *Shop) Orders() map[string]int {
+	shop.mutex.Lock()
+	defer shop.mutex.Unlock()
+	orders := make(map[string]int, len(shop.orders))
+	for id, count := range shop.orders {
+		orders[id] = count
+	}
+	return orders
+}
+
+// Serve answers calls on a listener until it is closed.
+func (shop *Shop) Serve(listener net.Listener) error {
+	return (&fasthttp.Server{Handler: shop.handle, NoDefaultServerHeader: true}).Serve(listener)
+}
+
+func (shop *Shop) handle(ctx *fasthttp.RequestCtx) {
+	switch {
+	case ctx.IsPost() && string(ctx.Path()) == "/orders":
+		shop.handleOrder(ctx)
+	case ctx.IsGet() && string(ctx.Path()) == "/stock":
+		writeJSON(ctx, struct {
+			Item  string `json:"item"`
+			Stock int    `json:"stock"`
+		}{string(ctx.QueryArgs().Peek("item")), len(ctx.QueryArgs().Peek("item"))})
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+func (shop *Shop) handleOrder(ctx *fasthttp.RequestCtx) {
+	id := string(ctx.Request.Header.Peek("Idempotency-Key"))
+	if id == "" {
+		id = string(ctx.PostBody())
+	}
+	shop.mutex.Lock()
+	shop.orders[id]++
+	count := shop.orders[id]
+	shop.mutex.Unlock()
+	ctx.SetStatusCode(fasthttp.StatusCreated)
+	writeJSON(ctx, struct {
+		Order string `json:"order"`
+		Shop  string `json:"shop"`
+		Ran   string `json:"ran"`
+	}{id, shop.name, fmt.Sprint(count)})
+}
