Limit callers, claim keyed calls and retry calls to services

Cause: every request was admitted, a call to a service went to the first backend server only, and an Idempotency-Key had no effect.

Change: lwtlimit divides a caller's limits over its home daemons and shares a full daemon by a dynamic threshold; lwtretry holds outcomes, the retry budget, breakers and hedging; lwtclaim is the state machine of at-most-once claims. lwtdaemon carries their decisions out.

--- /dev/null
+++ b/core/lwtclaim/model.go
@@ -0,0 +1,328 @@
+package lwtclaim
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Options are the bounds of a Model.
+type Options struct {
+	// Window is the longest wait of a claim for others to share its transaction.
+	Window time.Duration
+	// BatchSize bounds the claims of one transaction.
+	BatchSize int
+	// InFlight bounds the transactions on their way.
+	InFlight int
+	// Held bounds the claims that one daemon works on.
+	Held int
+}
+
+// DefaultOptions returns the bounds of a daemon that writes its own claims.
+func DefaultOptions() Options {
+	return Options{Window: 5 * time.Millisecond, BatchSize: 64, InFlight: 4, Held: 4096}
+}
+
+// Bounds of the pause after lost answers.
+const (
+	// outageLosses is the number of lost answers in a row that mean an outage.
+	// One loss alone is resolved by writing again.
+	outageLosses = 2
+	pauseLeast   = 250 * time.Millisecond
+	pauseMost    = 8 * time.Second
+)
+
+// entry is one write of a batch in flight.
+type entry struct {
+	key   string
+	nonce string
+	state State
+}
+
+// Model is the claims of one daemon.
+type Model struct {
+	daemon  string
+	options Options
+	claims  map[string]claim
+	queue   []string
+	batches map[uint64][]entry
+	last    uint64
+	// flushAt is when the queue must be sent even if no batch is full.
+	flushAt time.Time
+	// losses counts the lost answers since the last answer.
+	losses int
+	// downUntil is when the next probe of a store in an outage may be sent.
+	downUntil time.Time
+	wakeAt    time.Time
+}
+
+// New returns a model without claims. Daemon names the daemon in rows.
+func New(daemon string, options Options) Model {
+	return Model{daemon: daemon, options: options, claims: map[string]claim{}, batches: map[uint64][]entry{}}
+}
+
+// Held returns the number of claims that the daemon works on.
+func (model Model) Held() int { return len(model.claims) }
+
+// Update returns the model after a message, and the commands to carry out.
+func (model Model) Update(now time.Time, msg Msg) (Model, []Cmd) {
+	if open, isOpen := msg.(Open); isOpen {
+		if answer, early := model.answerEarly(now, open); early {
+			return model, []Cmd{answer}
+		}
+	}
+	model.claims, model.batches = maps.Clone(model.claims), maps.Clone(model.batches)
+	model.queue = slices.Clone(model.queue)
+	var cmds []Cmd
+	switch msg := msg.(type) {
+	case Open:
+		model = model.open(now, msg)
+	case Finish:
+		model = model.settle(now, msg.Key, msg.Nonce, finishing, msg.Outcome)
+	case Release:
+		model = model.settle(now, msg.Key, msg.Nonce, abandoning, Outcome{})
+	case Forget:
+		if model.claims[msg.Key].nonce == msg.Nonce {
+			delete(model.claims, msg.Key)
+		}
+	case Committed:
+		model, cmds = model.committed(now, msg)
+	case Conflicted:
+		model, cmds = model.conflicted(now, msg)
+	case Lost:
+		model, cmds = model.lost(now, msg)
+	case Tick:
+		model.wakeAt = time.Time{}
+	}
+	model, cmds = model.giveUp(now, cmds)
+	model, cmds = model.flush(now, cmds)
+	return model.wake(now, cmds)
+}
+
+// answerEarly answers an Open that needs no write.
+func (model Model) answerEarly(now time.Time, open Open) (Answer, bool) {
+	answer := Answer{Key: open.Key, Nonce: open.Nonce, Verdict: NotRun}
+	held, found := model.claims[open.Key]
+	switch {
+	case found && held.phase == finishing:
+		row := Row{RequestHash: held.hash, State: StateDone, Outcome: &held.outcome}
+		return claim{key: open.Key, nonce: open.Nonce, hash: open.RequestHash}.verdict(row), true
+	case found && held.phase == abandoning:
+		return answer, true
+	case found:
+		return claim{key: open.Key, nonce: open.Nonce, hash: open.RequestHash}.verdict(Row{RequestHash: held.hash}), true
+	case len(model.claims) >= model.options.Held, now.Before(model.downUntil), !now.Before(open.GiveUp):
+		return answer, true
+	}
+	return Answer{}, false
+}
+
+func (model Model) open(now time.Time, open Open) Model {
+	model.claims[open.Key] = claim{
+		key: open.Key, nonce: open.Nonce, hash: open.RequestHash, opened: now, giveUp: open.GiveUp,
+	}
+	return model.enqueue(now, open.Key)
+}
+
+func (model Model) enqueue(now time.Time, key string) Model {
+	if len(model.queue) == 0 {
+		model.flushAt = now.Add(model.options.Window)
+	}
+	model.queue = append(model.queue, key)
+	return model
+}
+
+// settle ends a running claim.
+func (model Model) settle(now time.Time, key, nonce string, to phase, outcome Outcome) Model {
+	held, found := model.claims[key]
+	if !found || held.nonce != nonce || held.phase != running {
+		return model
+	}
+	held.phase, held.outcome = to, outcome
+	model.claims[key] = held
+	return model.enqueue(now, key)
+}
+
+// take removes a batch and calls update for each claim of it that is still
+// held.
+func (model Model) take(batch uint64, update func(held claim, written entry)) {
+	entries := model.batches[batch]
+	delete(model.batches, batch)
+	for _, written := range entries {
+		held, found := model.claims[written.key]
+		if !found || held.nonce != written.nonce {
+			continue
+		}
+		held.inFlight = false
+		model.claims[written.key] = held
+		update(held, written)
+	}
+}
+
+func (model Model) committed(now time.Time, msg Committed) (Model, []Cmd) {
+	var cmds []Cmd
+	model.losses, model.downUntil = 0, time.Time{}
+	model.take(msg.Batch, func(held claim, written entry) {
+		held.version = msg.Version
+		switch {
+		case written.state != StateOpen:
+			delete(model.claims, held.key)
+			return
+		case held.phase == opening:
+			held.phase = running
+			cmds = append(cmds, Answer{Key: held.key, Nonce: held.nonce, Verdict: Granted})
+		case held.phase == abandoning:
+			model = model.enqueue(now, held.key)
+		}
+		model.claims[held.key] = held
+	})
+	return model, cmds
+}
+
+func (model Model) conflicted(now time.Time, msg Conflicted) (Model, []Cmd) {
+	var cmds []Cmd
+	model.losses, model.downUntil = 0, time.Time{}
+	rows := make(map[string]Stored, len(msg.Rows))
+	for _, row := range msg.Rows {
+		rows[row.Key] = row
+	}
+	model.take(msg.Batch, func(held claim, _ entry) {
+		stored := rows[held.key]
+		switch held.judge(now, stored) {
+		case again:
+			held.version = stored.Version
+			model.claims[held.key] = held
+			model = model.enqueue(now, held.key)
+			model.flushAt = now
+		case won:
+			held.version, held.phase = stored.Version, running
+			model.claims[held.key] = held
+			cmds = append(cmds, Answer{Key: held.key, Nonce: held.nonce, Verdict: Granted})
+		case over:
+			delete(model.claims, held.key)
+		case lost:
+			delete(model.claims, held.key)
+			cmds = append(cmds, held.verdict(stored.Row))
+		}
+	})
+	return model, cmds
+}
+
+func (model Model) lost(now time.Time, msg Lost) (Model, []Cmd) {
+	var cmds []Cmd
+	model.losses++
+	if model.losses >= outageLosses {
+		model.downUntil = now.Add(pause(model.losses, msg.Batch))
+	}
+	model.take(msg.Batch, func(held claim, _ entry) {
+		if held.phase == opening && model.losses >= outageLosses {
+			held.phase = abandoning
+			cmds = append(cmds, Answer{Key: held.key, Nonce: held.nonce, Verdict: NotRun})
+			model.claims[held.key] = held
+		}
+		model = model.enqueue(now, held.key)
+	})
+	return model, cmds
+}
+
+// pause returns the time to the next probe. The batch number spreads the
+// probes of daemons that lost the store at the same moment.
+func pause(losses int, batch uint64) time.Duration {
+	longest := min(pauseLeast<<min(losses-outageLosses, 10), pauseMost)
+	const parts = 1024
+	part := time.Duration(batch * 0x9e3779b97f4a7c15 >> 54)
+	return longest/2 + longest/2*part/parts
+}
+
+// giveUp answers the requests whose time has passed.
+func (model Model) giveUp(now time.Time, cmds []Cmd) (Model, []Cmd) {
+	for _, key := range model.overdue(now) {
+		held := model.claims[key]
+		cmds = append(cmds, Answer{Key: held.key, Nonce: held.nonce, Verdict: NotRun})
+		if !held.sent {
+			delete(model.claims, key)
+			model.queue = slices.DeleteFunc(model.queue, func(queued string) bool { return queued == key })
+			continue
+		}
+		held.phase = abandoning
+		model.claims[key] = held
+	}
+	return model, cmds
+}
+
+// overdue returns the keys to give up, sorted so that equal inputs give equal
+// commands.
+func (model Model) overdue(now time.Time) []string {
+	var keys []string
+	for key, held := range model.claims {
+		if held.phase == opening && !now.Before(held.giveUp) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// flush sends the batches that are due. In an outage it sends one at a time.
+func (model Model) flush(now time.Time, cmds []Cmd) (Model, []Cmd) {
+	inFlight := model.options.InFlight
+	if model.losses > 0 {
+		inFlight = 1
+	}
+	for len(model.queue) > 0 && len(model.batches) < inFlight && !now.Before(model.downUntil) {
+		if len(model.queue) < model.options.BatchSize && now.Before(model.flushAt) {
+			break
+		}
+		var commit Commit
+		model, commit = model.send()
+		cmds = append(cmds, commit)
+	}
+	return model, cmds
+}
+
+func (model Model) send() (Model, Commit) {
+	model.last++
+	size := min(len(model.queue), model.options.BatchSize)
+	commit := Commit{Batch: model.last, Writes: make([]Write, 0, size)}
+	entries := make([]entry, 0, size)
+	for _, key := range model.queue[:size] {
+		held := model.claims[key]
+		held.sent, held.inFlight = true, true
+		model.claims[key] = held
+		commit.Writes = append(commit.Writes, held.write(model.daemon))
+		entries = append(entries, entry{key: key, nonce: held.nonce, state: held.state()})
+	}
+	model.queue = model.queue[size:]
+	model.batches[model.last] = entries
+	return model, commit
+}
+
+// wake asks for a Tick when the next claim is due, unless an earlier one is on
+// its way.
+func (model Model) wake(now time.Time, cmds []Cmd) (Model, []Cmd) {
+	var next time.Time
+	earlier := func(at time.Time) {
+		if next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	for _, held := range model.claims {
+		if held.phase == opening {
+			earlier(held.giveUp)
+		}
+	}
+	if len(model.queue) > 0 {
+		due := model.flushAt
+		if due.Before(model.downUntil) {
+			due = model.downUntil
+		}
+		if due.After(now) {
+			earlier(due)
+		}
+	}
+	if next.IsZero() || !model.wakeAt.IsZero() && !next.Before(model.wakeAt) && now.Before(model.wakeAt) {
+		return model, cmds
+	}
+	model.wakeAt = next
+	return model, append(cmds, Wake{At: next})
+}
--- a/io/lwtdaemon/daemon.go
+++ b/io/lwtdaemon/daemon.go
@@ -48,6 +48,8 @@
 	listeners Listeners
 	declared  *declared
 	router    *router
+	limiter   *limiter
+	claims    *claims
 	entry     *lwtentry.Server
 	platform  *lwtplatform.Client
 	engines   *lwtengine.Client
@@ -64,13 +66,15 @@
 	}
 	daemon.declared = newDeclared(daemon.platform, daemon.logger)
 	daemon.router = newRouter(daemon.declared)
+	daemon.limiter = newLimiter(daemon.declared, settings.Name)
+	daemon.claims = newClaims(daemon.platform, settings.Name, daemon.logger)
 	daemon.entry = lwtentry.New(lwtentry.Dependencies{
 		Declared:         daemon.declared,
 		Router:           daemon.router,
-		Limiter:          openLimiter{},
+		Limiter:          daemon.limiter,
 		Addresses:        ownAddress{settings.EntryAddress},
 		Observer:         discardObserver{},
-		Services:         newForwarder(daemon.logger),
+		Services:         newForwarder(daemon.claims, settings.AvailabilityZone, daemon.logger),
 		Engines:          daemon.engines,
 		Logger:           daemon.logger,
 		StreamKey:        []byte(settings.PeerKey),
@@ -84,6 +88,7 @@
 func (daemon *Daemon) Run(ctx context.Context) error {
 	supervisor := suture.New("daemon "+daemon.settings.Name, suture.Spec{EventHook: daemon.supervised})
 	supervisor.Add(daemon.declared)
+	supervisor.Add(daemon.claims)
 	supervisor.Add(serverPart{"entry", func() error { return daemon.entry.Serve(daemon.listeners.Entry) }})
 	lwtlog.Info(daemon.logger, "daemon-started", "entry-address", daemon.listeners.Entry.Addr(),
 		"availability-zone", daemon.settings.AvailabilityZone)
@@ -92,6 +97,7 @@
 	ended := supervisor.ServeBackground(parts)
 	<-ctx.Done()
 	err := daemon.entry.Shutdown()
+	daemon.claims.Drain(claimDrain)
 	stop()
 	if ended := <-ended; !errors.Is(ended, context.Canceled) {
 		lwtlog.Warn(daemon.logger, "supervisor-ended", "err", ended)
--- a/io/lwtdaemon/thin.go
+++ b/io/lwtdaemon/thin.go
@@ -3,18 +3,11 @@
 import (
 	"time"
 
-	"lacewingtide/core/lwtstate"
 	"lacewingtide/io/lwtentry"
 )
 
 const addressKeep = 10 * time.Second
 
-// openLimiter admits every request.
-type openLimiter struct{}
-
-// Take implements lwtentry.Limiter.
-func (openLimiter) Take(time.Time, lwtstate.Caller) (func(), error) { return func() {}, nil }
-
 // ownAddress answers with the daemon's own address.
 type ownAddress struct{ address string }
 
