Resume and restart completion streams

Cause: a stream whose engine was gone ended unknown although its work may be repeated, a refusal or lost answer was retried without a budget, and a caller that disconnected before the first token left its work running.

Change: a stream resumes on its engine from the next event, and otherwise runs again on another engine with the delivered events skipped. Events that come early are held. Work of class order uses a connection of its own.

--- a/io/lwtengine/client.go
+++ b/io/lwtengine/client.go
@@ -53,6 +53,9 @@
 	Priority int
 	// Body is the request in the form of OpenAI's chat completions.
 	Body []byte
+	// Fresh has the call use a connection of its own, so that an engine that
+	// closes an idle connection can't leave it open whether the call ran.
+	Fresh bool
 }
 
 // Client calls engines by address. It sends each request once and is safe for
@@ -77,6 +80,11 @@
 	request.Header.Set("Engine-Request", call.Stream)
 	request.Header.Set("Engine-Priority", strconv.Itoa(call.Priority))
 	request.SetBodyRaw(call.Body)
+	if call.Fresh {
+		host := newHost(address)
+		request.SetConnectionClose()
+		return open(host, request)
+	}
 	return client.open(address, request)
 }
 
@@ -123,9 +131,15 @@
 }
 
 func (client *Client) open(address string, request *fasthttp.Request) (*Stream, error) {
+	return open(client.host(address), request)
+}
+
+func open(host *fasthttp.HostClient, request *fasthttp.Request) (*Stream, error) {
 	response := fasthttp.AcquireResponse()
-	if err := client.host(address).Do(request, response); err != nil {
+	if err := host.Do(request, response); err != nil {
 		fasthttp.ReleaseResponse(response)
+		// What silenced one connection may have silenced the idle ones too.
+		host.CloseIdleConnections()
 		return nil, classify(err)
 	}
 	switch status := response.StatusCode(); {
--- a/io/lwtengine/progress.go
+++ b/io/lwtengine/progress.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"time"
+
+	"github.com/valyala/fasthttp"
 )
 
 // progressConn fails a read or write that makes no progress within
@@ -34,5 +36,8 @@
 	if errors.Is(err, ErrNotSent) {
 		return err
 	}
+	if errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
 	return fmt.Errorf("%w: %w", ErrUnknown, err)
 }
--- a/io/lwtengine/stream.go
+++ b/io/lwtengine/stream.go
@@ -26,6 +26,8 @@
 	id       []byte
 	data     []byte
 	stream   string
+	// keepAlive is called at each comment, which engines send as a sign of life.
+	keepAlive func()
 }
 
 const maxEventBytes = 256 << 10
@@ -45,11 +47,20 @@
 	return load, err == nil
 }
 
+// NoStream returns a stream that has ended.
+func NoStream() *Stream { return &Stream{} }
+
+// SetKeepAlive sets what Next calls at each sign of life of the engine.
+func (stream *Stream) SetKeepAlive(keepAlive func()) { stream.keepAlive = keepAlive }
+
 // Buffered reports whether more of the answer has arrived already.
 func (stream *Stream) Buffered() bool { return stream.reader.Buffered() > 0 }
 
 // Close ends the reading. The engine goes on with the answer unless cancelled.
 func (stream *Stream) Close() {
+	if stream.reader == nil {
+		return
+	}
 	closeResponse(stream.response)
 	stream.reader.Reset(nil)
 	readers.Put(stream.reader)
@@ -59,6 +70,9 @@
 // Next returns the next event. It returns ErrUnknown when the connection ends
 // or stays silent for ProgressTimeout.
 func (stream *Stream) Next() (Event, error) {
+	if stream.reader == nil {
+		return Event{}, fmt.Errorf("%w: the stream is closed", ErrUnknown)
+	}
 	stream.id, stream.data = stream.id[:0], stream.data[:0]
 	for {
 		line, err := stream.reader.ReadSlice('\n')
@@ -80,6 +94,8 @@
 		stream.id = append(stream.id[:0], id...)
 	} else if data, found := bytes.CutPrefix(line, []byte("data: ")); found {
 		stream.data = append(stream.data, data...)
+	} else if len(line) > 0 && line[0] == ':' && stream.keepAlive != nil {
+		stream.keepAlive()
 	}
 	if len(stream.data) > maxEventBytes {
 		return fmt.Errorf("%w: event over %d bytes", ErrUnknown, maxEventBytes)
--- a/io/lwtentry/collect.go
+++ b/io/lwtentry/collect.go
@@ -22,12 +22,14 @@
 // an answer that is not whole.
 func (relay *relay) collect(ctx *fasthttp.RequestCtx) {
 	var answer collected
+	stop := WatchCaller(ctx.Conn(), relay.callerGone)
 	err := relay.each(func(event lwtengine.Event) error {
 		if relay.call.first.IsZero() {
 			relay.call.first = time.Now()
 		}
 		return answer.add(event.Data)
 	})
+	stop()
 	if err != nil {
 		writeError(ctx, engineError(OutcomeUnknown, err))
 	} else {
--- a/io/lwtentry/completion.go
+++ b/io/lwtentry/completion.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"lacewingtide/core/lwtretry"
 	"lacewingtide/core/lwtrouter"
 	"lacewingtide/core/lwtstate"
 	"lacewingtide/core/lwtstream"
@@ -16,7 +18,9 @@
 const (
 	defaultOutputTokens = 256
 	charactersPerToken  = 4
-	maxAttempts         = 3
+	// attemptPatience is the time in which a request that no engine takes is
+	// still tried elsewhere.
+	attemptPatience = 10 * time.Second
 )
 
 // completion is one chat completion on its way through the daemon.
@@ -25,7 +29,9 @@
 	caller  lwtstate.Caller
 	request lwtrouter.Request
 	choice  lwtrouter.Choice
-	address string
+	// placed says that the router counts the request on the chosen engine.
+	placed  bool
+	address atomic.Pointer[string]
 	body    []byte
 	stream  bool
 	usage   bool
@@ -34,10 +40,24 @@
 	release func()
 }
 
+// repeatable reports whether the request may run more than once.
+func (call *completion) repeatable() bool { return call.request.Class != lwtstate.ClassOrder }
+
+func (call *completion) setAddress(address string) { call.address.Store(&address) }
+
+// engineAddress returns the address of the engine that has the request.
+func (call *completion) engineAddress() string {
+	if address := call.address.Load(); address != nil {
+		return *address
+	}
+	return ""
+}
+
 type completionBody struct {
 	Model               string            `json:"model"`
 	Messages            []json.RawMessage `json:"messages"`
 	Stream              bool              `json:"stream"`
+	Seed                *int64            `json:"seed"`
 	MaxTokens           *int              `json:"max_tokens"`
 	MaxCompletionTokens *int              `json:"max_completion_tokens"`
 	StreamOptions       struct {
@@ -50,7 +70,7 @@
 		server.handleResume(ctx, state, caller, string(id))
 		return
 	}
-	call, failure := server.newCompletion(ctx, state, caller)
+	call, failure := server.newCompletion(ctx, state, caller, server.ids.next())
 	if failure != nil {
 		writeError(ctx, *failure)
 		return
@@ -62,7 +82,8 @@
 		return
 	}
 	call.release = release
-	events, failure := server.open(state, call)
+	server.retries.request()
+	events, failure := server.place(state, call)
 	if failure != nil {
 		release()
 		server.finish(call, failure.Outcome, errors.New(failure.Message))
@@ -78,7 +99,7 @@
 }
 
 func (server *Server) newCompletion(
-	ctx *fasthttp.RequestCtx, state lwtstate.State, caller lwtstate.Caller,
+	ctx *fasthttp.RequestCtx, state lwtstate.State, caller lwtstate.Caller, id string,
 ) (*completion, *APIError) {
 	if !ctx.IsPost() {
 		return nil, &errPath
@@ -96,7 +117,7 @@
 		return nil, failure
 	}
 	return &completion{
-		id:     server.ids.next(),
+		id:     id,
 		caller: caller,
 		request: lwtrouter.Request{
 			Model:            body.Model,
@@ -106,7 +127,7 @@
 			AvailabilityZone: server.dependencies.AvailabilityZone,
 		},
 		// The request's buffer returns to a pool with ctx, which may end before a retry.
-		body:   append([]byte(nil), ctx.PostBody()...),
+		body:   withSeed(ctx.PostBody(), body, id),
 		stream: body.Stream,
 		usage:  body.StreamOptions.IncludeUsage,
 		began:  time.Now(),
@@ -173,34 +194,63 @@
 	return "", &answer
 }
 
-// open places the request on an engine. It tries another engine only when the
-// first one certainly did not run the request.
-func (server *Server) open(state lwtstate.State, call *completion) (*lwtengine.Stream, *APIError) {
-	var last error
-	for range maxAttempts {
+// place has an engine run the request. It tries another engine when the first
+// certainly did not run it, or when the request may run more than once.
+func (server *Server) place(state lwtstate.State, call *completion) (*lwtengine.Stream, *APIError) {
+	outcome, deadline := lwtretry.NotSent, time.Now().Add(attemptPatience)
+	// A failed engine stays counted until the end, so that the router prefers another one.
+	var failed []lwtrouter.Choice
+	defer func() {
+		for _, choice := range failed {
+			server.dependencies.Router.Done(time.Now(), call.request, choice, true)
+		}
+	}()
+	for number := 1; ; number++ {
 		choice, err := server.dependencies.Router.Pick(time.Now(), call.request)
 		if err != nil {
 			answer := rejectionError(err)
+			answer.Outcome = outcome.String()
 			return nil, &answer
 		}
-		call.choice, call.address = choice, state.Engines[choice.Engine].Address
-		events, err := server.dependencies.Engines.Complete(call.address, lwtengine.Call{
-			Stream: call.id, Priority: priority(call.request.Class), Body: call.body,
+		call.choice = choice
+		call.setAddress(state.Engines[choice.Engine].Address)
+		events, err := server.dependencies.Engines.Complete(call.engineAddress(), lwtengine.Call{
+			Stream: call.id, Priority: priority(call.request.Class), Body: call.body, Fresh: !call.repeatable(),
 		})
 		if err == nil {
+			call.placed = true
 			server.learn(choice, events)
 			return events, nil
 		}
-		server.dependencies.Router.Done(time.Now(), call.request, choice, true)
+		failed = append(failed, choice)
 		server.log(call.id, "engine-attempt-failed", "engine", choice.Engine, "err", err)
-		if errors.Is(err, lwtengine.ErrUnknown) {
-			answer := engineError(OutcomeUnknown, err)
+		ended := lwtretry.Attempt{
+			Outcome: attemptOutcome(err), Idempotent: call.repeatable(), Number: number, Deadline: deadline,
+		}
+		outcome = outcome.Worse(ended.Outcome)
+		if !server.retries.again(time.Now(), ended) {
+			answer := engineError(outcome.String(), err)
 			return nil, &answer
 		}
-		last = err
 	}
-	answer := engineError(OutcomeNotRun, last)
-	return nil, &answer
+}
+
+// leave tells the router that the request has left its engine.
+func (server *Server) leave(call *completion, failed bool) {
+	if call.placed {
+		server.dependencies.Router.Done(time.Now(), call.request, call.choice, failed)
+	}
+	call.placed = false
+}
+
+func attemptOutcome(err error) lwtretry.Outcome {
+	switch {
+	case errors.Is(err, lwtengine.ErrNotSent):
+		return lwtretry.NotSent
+	case errors.Is(err, lwtengine.ErrRefused):
+		return lwtretry.Refused
+	}
+	return lwtretry.Unknown
 }
 
 func (server *Server) learn(choice lwtrouter.Choice, events *lwtengine.Stream) {
--- a/io/lwtentry/error.go
+++ b/io/lwtentry/error.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"errors"
+	"io"
 	"math"
+	"os"
 	"strconv"
 	"time"
 
@@ -162,6 +164,10 @@
 		answer.Status, answer.Code = fasthttp.StatusRequestEntityTooLarge, "body_too_large"
 	case errors.As(err, &tooSmall):
 		answer.Status, answer.Code = fasthttp.StatusRequestHeaderFieldsTooLarge, "headers_too_large"
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		answer.Status, answer.Code = fasthttp.StatusRequestTimeout, "request_too_slow"
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		answer.Code, answer.Message = "body_too_short", "the body is shorter than its Content-Length"
 	}
 	answer.Write(ctx)
 }
--- a/io/lwtentry/relay.go
+++ b/io/lwtentry/relay.go
@@ -4,20 +4,31 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"lacewingtide/core/lwtretry"
 	"lacewingtide/core/lwtstate"
 	"lacewingtide/core/lwtstream"
 	"lacewingtide/io/lwtengine"
 )
 
-const maxResumes = 3
+const (
+	// maxResumes bounds the resumes between two delivered events.
+	maxResumes = 3
+	// maxHeld bounds the events held while an earlier one is missing.
+	maxHeld = 32
+	// resumePause keeps the resumes of a stream from following each other at once.
+	resumePause = 50 * time.Millisecond
+)
 
 var (
-	errGap  = errors.New("the engine left out events of the stream")
-	endMark = []byte("[DONE]")
+	errGap       = errors.New("the engine left out events of the stream")
+	errGone      = errors.New("connection closed")
+	endMark      = []byte("[DONE]")
+	keepAliveSSE = []byte(": keep-alive\n\n")
 )
 
 // relay copies the events of one engine stream to one caller.
@@ -29,24 +40,48 @@
 	signer   *lwtstream.Signer
 	id       []byte
 	resumes  int
+	// held are events that came before an earlier one, by offset.
+	held map[uint64][]byte
+	// dropped counts events of other streams and repeated ones.
+	dropped int
+	// keepAlive passes the engine's sign of life on.
+	keepAlive func()
+	// gone is set when the caller has disconnected.
+	gone atomic.Bool
 }
 
 func (server *Server) newRelay(call *completion, events *lwtengine.Stream, sequence lwtstream.Sequence) *relay {
-	return &relay{
-		server:   server,
-		call:     call,
-		events:   events,
-		sequence: sequence,
-		signer:   lwtstream.NewSigner(server.dependencies.StreamKey, call.caller.Name),
+	relay := &relay{
+		server:    server,
+		call:      call,
+		sequence:  sequence,
+		signer:    lwtstream.NewSigner(server.dependencies.StreamKey, call.caller.Name),
+		held:      map[uint64][]byte{},
+		keepAlive: func() {},
 	}
+	relay.attach(events)
+	return relay
+}
+
+func (relay *relay) attach(events *lwtengine.Stream) {
+	relay.events = events
+	events.SetKeepAlive(func() { relay.keepAlive() })
 }
 
 // stream relays the events as server-sent events.
 func (relay *relay) stream(ctx *fasthttp.RequestCtx) {
 	ctx.SetContentType("text/event-stream")
 	ctx.Response.Header.Set("Cache-Control", "no-cache")
+	conn := ctx.Conn()
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		stop := WatchCaller(conn, relay.callerGone)
+		relay.keepAlive = func() {
+			// A write error shows at the next event, and to the watcher.
+			_, _ = w.Write(keepAliveSSE)
+			_ = w.Flush()
+		}
 		err := relay.each(func(event lwtengine.Event) error { return relay.write(w, event) })
+		stop()
 		if err != nil {
 			relay.writeFailure(w, err)
 		}
@@ -54,25 +89,37 @@
 	})
 }
 
+// callerGone ends the work of a caller that has disconnected, unless the work
+// may not be repeated: that runs on, and any daemon can still read it.
+func (relay *relay) callerGone() {
+	if !relay.call.repeatable() {
+		return
+	}
+	relay.gone.Store(true)
+	relay.cancel()
+}
+
+func (relay *relay) cancel() {
+	address := relay.call.engineAddress()
+	if err := relay.server.dependencies.Engines.Cancel(address, relay.call.id); err != nil {
+		relay.server.log(relay.call.id, "cancel-failed", "address", address, "err", err)
+	}
+}
+
 // each calls deliver with each event exactly once and in order, until the end
-// mark. It resumes a broken stream on the same engine.
+// mark.
 func (relay *relay) each(deliver func(lwtengine.Event) error) error {
 	for {
-		event, err := relay.events.Next()
+		event, err := relay.next()
+		if relay.gone.Load() {
+			return &callerGoneError{errGone}
+		}
 		if err != nil {
-			if err = relay.resume(err); err != nil {
+			if err = relay.recover(err); err != nil {
 				return err
 			}
 			continue
 		}
-		next, verdict := relay.sequence.Accept(event.Stream, event.Offset)
-		if verdict == lwtstream.Gap {
-			return errGap
-		}
-		if verdict != lwtstream.Deliver {
-			continue
-		}
-		relay.sequence = next
 		if err := deliver(event); err != nil {
 			return &callerGoneError{err}
 		}
@@ -82,19 +129,83 @@
 	}
 }
 
-func (relay *relay) resume(cause error) error {
+// next returns the next event of the sequence. It holds events that come too
+// early, and drops those of other streams and those delivered already.
+func (relay *relay) next() (lwtengine.Event, error) {
+	for {
+		offset := relay.sequence.Next()
+		if data, found := relay.held[offset]; found {
+			delete(relay.held, offset)
+			relay.sequence, _ = relay.sequence.Accept(relay.call.id, offset)
+			return lwtengine.Event{Stream: relay.call.id, Offset: offset, Data: data}, nil
+		}
+		event, err := relay.events.Next()
+		if err != nil {
+			return event, err
+		}
+		next, verdict := relay.sequence.Accept(event.Stream, event.Offset)
+		switch verdict {
+		case lwtstream.Deliver:
+			relay.sequence, relay.resumes = next, 0
+			return event, nil
+		case lwtstream.Gap:
+			if len(relay.held) == maxHeld {
+				return event, errGap
+			}
+			relay.held[event.Offset] = bytes.Clone(event.Data)
+		default:
+			relay.dropped++
+		}
+	}
+}
+
+// recover takes up a broken stream: on its engine from the next event on, or,
+// for work that may be repeated, from the start on another engine. The events
+// that the caller has are skipped then, which is right because the answer is
+// deterministic.
+func (relay *relay) recover(cause error) error {
+	relay.events.Close()
+	relay.attach(lwtengine.NoStream())
+	clear(relay.held)
 	if relay.resumes == maxResumes {
 		return cause
 	}
 	relay.resumes++
-	relay.server.log(relay.call.id, "stream-resumed", "engine", relay.call.choice.Engine,
-		"offset", relay.sequence.Next(), "err", cause)
-	events, err := relay.server.dependencies.Engines.Resume(relay.call.address, relay.call.id, relay.sequence.Next())
-	if err != nil {
-		return err
+	if relay.resumes > 1 {
+		time.Sleep(resumePause)
 	}
-	relay.events.Close()
-	relay.events = events
+	call, server := relay.call, relay.server
+	server.log(call.id, "stream-resumed", "engine", call.choice.Engine, "offset", relay.sequence.Next(), "err", cause)
+	events, err := server.dependencies.Engines.Resume(call.engineAddress(), call.id, relay.sequence.Next())
+	if err == nil {
+		relay.attach(events)
+		return nil
+	}
+	if !call.repeatable() {
+		if errors.Is(err, lwtengine.ErrNoStream) {
+			return err
+		}
+		return nil // the next round tries the engine again
+	}
+	return relay.restart(err)
+}
+
+// restart runs the request on another engine.
+func (relay *relay) restart(cause error) error {
+	call, server := relay.call, relay.server
+	if len(call.body) == 0 || !server.retries.again(time.Now(), lwtretry.Attempt{
+		Outcome: lwtretry.Unknown, Idempotent: true, Number: 1, Deadline: time.Now().Add(time.Second),
+	}) {
+		return cause
+	}
+	state, _ := server.dependencies.Declared.State()
+	server.leave(call, true)
+	events, failure := server.place(state, call)
+	if failure != nil {
+		return errors.New(failure.Message)
+	}
+	server.log(call.id, "stream-restarted", "engine", call.choice.Engine, "skip", relay.sequence.Next(), "err", cause)
+	relay.attach(events)
 	return nil
 }
 
@@ -134,17 +245,18 @@
 	relay.events.Close()
 	server, call := relay.server, relay.call
 	var gone *callerGoneError
-	if errors.As(err, &gone) && call.request.Class != lwtstate.ClassOrder {
-		if err := server.dependencies.Engines.Cancel(call.address, call.id); err != nil {
-			server.log(call.id, "cancel-failed", "engine", call.choice.Engine, "err", err)
-		}
+	if errors.As(err, &gone) && call.repeatable() && !relay.gone.Load() {
+		relay.cancel()
 	}
-	server.dependencies.Router.Done(time.Now(), call.request, call.choice, err != nil && gone == nil)
+	server.leave(call, err != nil && gone == nil)
 	call.release()
 	outcome := OutcomeDone
 	if err != nil {
 		outcome = OutcomeUnknown
 	}
+	if relay.dropped > 0 {
+		server.log(call.id, "events-dropped", "engine", call.choice.Engine, "count", relay.dropped)
+	}
 	server.finish(call, outcome, err)
 }
 
@@ -157,7 +269,9 @@
 
 func (gone *callerGoneError) Unwrap() error { return gone.cause }
 
-// handleResume continues a stream after the event that the caller names.
+// handleResume continues a stream after the event that the caller names. A
+// caller that sends its request again with the event's id has it run anew when
+// no engine holds the stream any more; the events that it has are skipped.
 func (server *Server) handleResume(
 	ctx *fasthttp.RequestCtx, state lwtstate.State, caller lwtstate.Caller, eventID string,
 ) {
@@ -167,22 +281,42 @@
 		writeError(ctx, errEventID)
 		return
 	}
-	engine, found := state.Engines[position.Engine]
-	if !found {
-		writeError(ctx, errStreamGone)
+	call := &completion{id: position.Stream, caller: caller, began: time.Now(), stream: true, release: func() {}}
+	if len(ctx.PostBody()) > 0 {
+		again, failure := server.newCompletion(ctx, state, caller, position.Stream)
+		if failure != nil {
+			writeError(ctx, *failure)
+			return
+		}
+		again.release = call.release
+		call = again
+	}
+	events, failure := server.reopen(state, call, position)
+	if failure != nil {
+		writeError(ctx, *failure)
 		return
 	}
-	events, err := server.dependencies.Engines.Resume(engine.Address, position.Stream, position.Offset)
-	if err != nil {
-		answer := errStreamGone
+	server.newRelay(call, events, lwtstream.NewSequence(position.Stream, position.Offset)).stream(ctx)
+}
+
+// reopen finds the stream on its engine, or runs the request again.
+func (server *Server) reopen(
+	state lwtstate.State, call *completion, position lwtstream.Position,
+) (*lwtengine.Stream, *APIError) {
+	answer := errStreamGone
+	if engine, found := state.Engines[position.Engine]; found {
+		call.choice.Engine = engine.Name
+		call.setAddress(engine.Address)
+		events, err := server.dependencies.Engines.Resume(engine.Address, position.Stream, position.Offset)
+		if err == nil {
+			return events, nil
+		}
 		if !errors.Is(err, lwtengine.ErrNoStream) {
 			answer = engineError(OutcomeUnknown, err)
 		}
-		writeError(ctx, answer)
-		return
 	}
-	call := &completion{id: position.Stream, caller: caller, address: engine.Address, began: time.Now(), stream: true}
-	call.choice.Engine = engine.Name
-	call.release = func() {}
-	server.newRelay(call, events, lwtstream.NewSequence(position.Stream, position.Offset)).stream(ctx)
+	if len(call.body) == 0 || !call.repeatable() {
+		return nil, &answer
+	}
+	return server.place(state, call)
 }
--- a/io/lwtentry/server.go
+++ b/io/lwtentry/server.go
@@ -104,12 +104,13 @@
 type Server struct {
 	dependencies Dependencies
 	ids          *idSource
+	retries      *retries
 	http         *fasthttp.Server
 }
 
 // New returns a server.
 func New(dependencies Dependencies) *Server {
-	server := &Server{dependencies: dependencies, ids: newIDSource(dependencies.Name)}
+	server := &Server{dependencies: dependencies, ids: newIDSource(dependencies.Name), retries: newRetries()}
 	server.http = &fasthttp.Server{
 		Handler:               server.handle,
 		ErrorHandler:          handleProtocolError,
@@ -120,13 +121,15 @@
 		Concurrency:           maxConnections,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
+		// Bodies of calls to services pass through unchanged.
+		DisablePreParseMultipartForm: true,
 	}
 	return server
 }
 
 // Serve answers callers on a listener until Shutdown is called.
 func (server *Server) Serve(listener net.Listener) error {
-	return server.http.Serve(listener)
+	return server.http.Serve(callerListener{listener})
 }
 
 // Shutdown stops accepting connections and waits for running requests.
