--- /dev/null
+++ b/core/lwtretry/retry_test.go
@@ -0,0 +1,156 @@
+package lwtretry_test
+
+import (
+	"testing"
+	"time"
+
+	"lacewingtide/core/lwtretry"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// TestOnlyCertainAttemptsAreRepeated guards against a second attempt of work
+// that may have run.
+func TestOnlyCertainAttemptsAreRepeated(t *testing.T) {
+	cases := []struct {
+		name    string
+		attempt lwtretry.Attempt
+		want    bool
+	}{
+		{"not sent", lwtretry.Attempt{Outcome: lwtretry.NotSent, Number: 1}, true},
+		{"refused", lwtretry.Attempt{Outcome: lwtretry.Refused, Number: 1}, true},
+		{"unknown", lwtretry.Attempt{Outcome: lwtretry.Unknown, Number: 1}, false},
+		{"unknown idempotent", lwtretry.Attempt{Outcome: lwtretry.Unknown, Idempotent: true, Number: 1}, true},
+		{"done", lwtretry.Attempt{Outcome: lwtretry.Done, Idempotent: true, Number: 1}, false},
+		{"too many", lwtretry.Attempt{Outcome: lwtretry.NotSent, Number: lwtretry.MaxAttempts}, false},
+		{"late", lwtretry.Attempt{Outcome: lwtretry.NotSent, Number: 1, Deadline: start}, false},
+	}
+	for _, test := range cases {
+		if test.attempt.Deadline.IsZero() {
+			test.attempt.Deadline = start.Add(time.Second)
+		}
+		if _, got := lwtretry.Decide(start, test.attempt, lwtretry.NewBudget()); got != test.want {
+			t.Errorf("%s: retry %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
+// TestWholeOutcomeForgetsNoRun guards against not-run for a request of which an
+// earlier attempt may have run.
+func TestWholeOutcomeForgetsNoRun(t *testing.T) {
+	for _, first := range []lwtretry.Outcome{lwtretry.NotSent, lwtretry.Refused, lwtretry.Unknown, lwtretry.Done} {
+		for _, second := range []lwtretry.Outcome{lwtretry.NotSent, lwtretry.Refused, lwtretry.Unknown, lwtretry.Done} {
+			whole := first.Worse(second)
+			if whole.Ran() != (first.Ran() || second.Ran()) || whole != second.Worse(first) {
+				t.Errorf("%v and %v give %v", first, second, whole)
+			}
+		}
+	}
+}
+
+// TestBudgetBoundsRetries guards against retries that multiply the load of a
+// backend server that fails.
+func TestBudgetBoundsRetries(t *testing.T) {
+	const requests = 10_000
+	budget, retries := lwtretry.NewBudget(), 0
+	saved := budget.Left()
+	for range requests {
+		budget = budget.WithRequest()
+		for more := true; more; {
+			if budget, more = budget.Spend(); more {
+				retries++
+			}
+		}
+	}
+	if most := saved + requests/10; retries > most {
+		t.Errorf("%d retries of %d requests, want at most %d", retries, requests, most)
+	}
+}
+
+// TestBreakerEjectsAndProbes guards against work sent to a failing server, and
+// against a server that never gets work again after it recovered.
+func TestBreakerEjectsAndProbes(t *testing.T) {
+	var breaker lwtretry.Breaker
+	now := start
+	for range 5 {
+		breaker = breaker.WithAttempt(now).WithResult(now, true, 0)
+	}
+	if breaker.Allows(now) {
+		t.Fatal("the server gets work after 5 failures")
+	}
+	now = now.Add(time.Second)
+	if !breaker.Allows(now) {
+		t.Fatal("the server gets no probe after a pause")
+	}
+	probing := breaker.WithAttempt(now)
+	if probing.Allows(now) {
+		t.Error("two probes run at once")
+	}
+	if lost := now.Add(10 * time.Second); !probing.Allows(lost) {
+		t.Error("a probe without a result blocks the server for good")
+	}
+	if failed := probing.WithResult(now, true, 0.5); failed.Allows(now.Add(300 * time.Millisecond)) {
+		t.Error("the pause does not grow after a failed probe")
+	}
+	if !probing.WithResult(now, false, 0).Allows(now) {
+		t.Error("the server gets no work after a good probe")
+	}
+}
+
+// TestBreakerEjectsOutliers guards against a server that fails every other call
+// and so never fails often in a row.
+func TestBreakerEjectsOutliers(t *testing.T) {
+	var breaker lwtretry.Breaker
+	for i := 0; i < 30 && !breaker.Open(); i++ {
+		breaker = breaker.WithAttempt(start).WithResult(start, i%2 == 0, 0)
+	}
+	if !breaker.Open() {
+		t.Error("the server with half of its calls failed is not ejected")
+	}
+}
+
+// TestOrderOfBackendServers guards against work for draining servers, and
+// against a service without any server when all of them fail.
+func TestOrderOfBackendServers(t *testing.T) {
+	var open lwtretry.Breaker
+	for range 5 {
+		open = open.WithResult(start, true, 0)
+	}
+	got := lwtretry.Order(start, []lwtretry.Server{
+		{Address: "far"},
+		{Address: "near", Near: true},
+		{Address: "draining", Near: true, Draining: true},
+		{Address: "busy", Near: true, Active: 3},
+		{Address: "broken", Near: true, Breaker: open},
+	}, 0)
+	if want := []string{"near", "busy", "far"}; len(got) != 3 || got[0] != want[0] || got[1] != want[1] || got[2] != want[2] {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	all := []lwtretry.Server{{Address: "a", Breaker: open}, {Address: "b", Breaker: open}}
+	if got := lwtretry.Order(start, all, 0); len(got) != 1 {
+		t.Errorf("%d of 2 broken servers get work, want 1", len(got))
+	}
+}
+
+// TestHedgeFollowsTheTail guards against hedges for ordinary lookups and for
+// work that may not be repeated.
+func TestHedgeFollowsTheTail(t *testing.T) {
+	hedge := lwtretry.NewHedge()
+	hedged := 0
+	for i := range 20_000 {
+		took := 20 * time.Millisecond
+		if i%50 == 0 {
+			took = time.Second
+		}
+		hedge = hedge.WithSample(took)
+		if i > 10_000 && took > hedge.Delay() {
+			hedged++
+		}
+	}
+	if hedge.Delay() > 60*time.Millisecond || hedged > 1000 {
+		t.Errorf("delay %v, %d of 10,000 lookups hedged", hedge.Delay(), hedged)
+	}
+	if _, hedges := hedge.Decide(time.Minute, false, lwtretry.NewBudget()); hedges {
+		t.Error("work that may not be repeated is hedged")
+	}
+}
--- /dev/null
+++ b/io/lwtstandin/fault_relay.go
@@ -0,0 +1,122 @@
+package lwtstandin
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// RelayFault says how a FaultRelay fails.
+type RelayFault struct {
+	// After is the number of bytes of one direction that still pass.
+	After int64
+	// Up and Down select the directions in which further bytes are swallowed:
+	// towards the target, and back.
+	Up, Down bool
+	// Reset resets the connection instead of swallowing.
+	Reset bool
+	// Connections is the number of connections that fail, in the order of
+	// their acceptance; 0 means all.
+	Connections int64
+}
+
+// FaultRelay passes TCP connections on to a target and makes them fail.
+type FaultRelay struct {
+	target   string
+	mutex    sync.Mutex
+	fault    RelayFault
+	left     int64
+	accepted atomic.Int64
+	silenced atomic.Int64
+}
+
+// NewFaultRelay returns a relay to an address that passes everything on.
+func NewFaultRelay(target string) *FaultRelay { return &FaultRelay{target: target} }
+
+// SetFault changes how connections accepted from now on fail.
+func (relay *FaultRelay) SetFault(fault RelayFault) {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	relay.fault, relay.left = fault, fault.Connections
+}
+
+// Accepted returns the number of connections accepted so far.
+func (relay *FaultRelay) Accepted() int64 { return relay.accepted.Load() }
+
+// Silenced returns the number of directions that have begun to swallow bytes.
+func (relay *FaultRelay) Silenced() int64 { return relay.silenced.Load() }
+
+// Serve relays connections until the listener is closed.
+func (relay *FaultRelay) Serve(listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		relay.accepted.Add(1)
+		go relay.pass(conn, relay.take())
+	}
+}
+
+// take returns the fault of the next connection.
+func (relay *FaultRelay) take() RelayFault {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	if relay.fault.Connections == 0 {
+		return relay.fault
+	}
+	if relay.left == 0 {
+		return RelayFault{}
+	}
+	relay.left--
+	return relay.fault
+}
+
+func (relay *FaultRelay) pass(caller net.Conn, fault RelayFault) {
+	defer closeQuietly(caller)
+	target, err := net.Dial("tcp", relay.target)
+	if err != nil {
+		return
+	}
+	defer closeQuietly(target)
+	ended := make(chan struct{}, 2)
+	direction := func(to, from net.Conn, fails bool) {
+		defer func() { ended <- struct{}{} }()
+		// An error ends the direction, as the end of the stream does.
+		if !fails {
+			_, _ = io.Copy(to, from)
+			return
+		}
+		if _, err := io.CopyN(to, from, fault.After); err != nil {
+			return
+		}
+		relay.fail(caller, target, from, fault)
+	}
+	go direction(target, caller, fault.Up)
+	go direction(caller, target, fault.Down)
+	<-ended
+}
+
+// fail resets the connection, or swallows what comes until it is closed.
+func (relay *FaultRelay) fail(caller, target, from net.Conn, fault RelayFault) {
+	if fault.Reset {
+		for _, conn := range []net.Conn{caller, target} {
+			if socket, found := conn.(*net.TCPConn); found {
+				// Without linger, closing sends a reset.
+				_ = socket.SetLinger(0)
+			}
+		}
+		return
+	}
+	relay.silenced.Add(1)
+	// An error ends the swallowing, as the end of the stream does.
+	_, _ = io.Copy(io.Discard, from)
+}
+
+func closeQuietly(conn net.Conn) {
+	if err := conn.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		return
+	}
+}
