--- a/core/lwtclaim/message.go
+++ b/core/lwtclaim/message.go
@@ -85,12 +85,20 @@
 	Outcome Outcome
 }
 
+// Settled tells that the last row of an ended request is in the table: its
+// outcome is stored or its key is free again.
+type Settled struct {
+	Key   string
+	Nonce string
+}
+
 // Wake asks for a Tick at a time.
 type Wake struct{ At time.Time }
 
-func (Commit) isCmd() {}
-func (Answer) isCmd() {}
-func (Wake) isCmd()   {}
+func (Commit) isCmd()  {}
+func (Answer) isCmd()  {}
+func (Wake) isCmd()    {}
+func (Settled) isCmd() {}
 
 // Verdict is the result of an Open.
 type Verdict int
--- a/core/lwtclaim/model.go
+++ b/core/lwtclaim/model.go
@@ -171,6 +171,7 @@
 		switch {
 		case written.state != StateOpen:
 			delete(model.claims, held.key)
+			cmds = append(cmds, Settled{Key: held.key, Nonce: held.nonce})
 			return
 		case held.phase == opening:
 			held.phase = running
@@ -204,6 +205,7 @@
 			cmds = append(cmds, Answer{Key: held.key, Nonce: held.nonce, Verdict: Granted})
 		case over:
 			delete(model.claims, held.key)
+			cmds = append(cmds, Settled{Key: held.key, Nonce: held.nonce})
 		case lost:
 			delete(model.claims, held.key)
 			cmds = append(cmds, held.verdict(stored.Row))
--- a/core/lwtclaim/script_test.go
+++ b/core/lwtclaim/script_test.go
@@ -113,6 +113,8 @@
 	case lwtclaim.Answer:
 		verdict := []string{"granted", "not-run", "in-progress", "replay", "mismatch"}[cmd.Verdict]
 		fmt.Fprintf(&script.output, "  answer %s %s %s\n", cmd.Nonce, verdict, cmd.Outcome.Body)
+	case lwtclaim.Settled:
+		fmt.Fprintf(&script.output, "  settled %s\n", cmd.Nonce)
 	case lwtclaim.Wake:
 		fmt.Fprintf(&script.output, "  wake %v\n", cmd.At.Sub(script.start))
 	}
--- a/io/lwtdaemon/claim.go
+++ b/io/lwtdaemon/claim.go
@@ -30,8 +30,10 @@
 	claimBodyBytes = 1 << 20
 	objectAttempts = 3
 	objectPause    = 200 * time.Millisecond
-	drainInterval  = 10 * time.Millisecond
-	claimDrain     = 2 * time.Second
+	// releasePatience bounds the wait of a request that did not run for its key.
+	releasePatience = 500 * time.Millisecond
+	drainInterval   = 10 * time.Millisecond
+	claimDrain      = 2 * time.Second
 )
 
 type (
@@ -51,10 +53,12 @@
 	loop    *claimLoop
 	mutex   sync.Mutex
 	waiting map[string]chan lwtclaim.Answer
+	// releasing are the requests that wait for their key to be free again.
+	releasing map[string]chan struct{}
 }
 
 func newClaims(store claimStore, daemon string, logger log.Logger) *claims {
-	claims := &claims{store: store, logger: logger, waiting: map[string]chan lwtclaim.Answer{}}
+	claims := &claims{store: store, logger: logger, waiting: map[string]chan lwtclaim.Answer{}, releasing: map[string]chan struct{}{}}
 	claims.loop = lwtloop.New(lwtclaim.New(daemon, lwtclaim.DefaultOptions()), claimQueue, claims.execute)
 	return claims
 }
@@ -112,6 +116,33 @@
 	claims.loop.Send(context.Background(), msg)
 }
 
+// Release frees the key of a granted request that did not run. It waits a short
+// time for the store, so that a caller that was told not-run can repeat its
+// request through another daemon at once.
+func (claims *claims) Release(key, nonce string) {
+	released := make(chan struct{})
+	claims.mutex.Lock()
+	claims.releasing[nonce] = released
+	claims.mutex.Unlock()
+	claims.Send(lwtclaim.Release{Key: key, Nonce: nonce})
+	timer := time.NewTimer(releasePatience)
+	defer timer.Stop()
+	select {
+	case <-released:
+	case <-timer.C:
+		claims.settled(nonce)
+	}
+}
+
+func (claims *claims) settled(nonce string) {
+	claims.mutex.Lock()
+	defer claims.mutex.Unlock()
+	if released, found := claims.releasing[nonce]; found {
+		close(released)
+		delete(claims.releasing, nonce)
+	}
+}
+
 // Finish stores the outcome of a granted request. It does not wait for the
 // store, and a row that can't be written stays open, which is safe.
 func (claims *claims) Finish(key, nonce string, outcome lwtclaim.Outcome) {
@@ -174,6 +205,8 @@
 		time.AfterFunc(time.Until(cmd.At), func() { claims.loop.Send(ctx, lwtclaim.Tick{}) })
 	case lwtclaim.Answer:
 		claims.answer(ctx, cmd)
+	case lwtclaim.Settled:
+		claims.settled(cmd.Nonce)
 	}
 }
 
--- a/io/lwtdaemon/service.go
+++ b/io/lwtdaemon/service.go
@@ -94,7 +94,7 @@
 	result := forwarder.perform(ctx, call)
 	switch {
 	case !result.outcome.Ran():
-		forwarder.claims.Send(lwtclaim.Release{Key: row, Nonce: call.id})
+		forwarder.claims.Release(row, call.id)
 	case result.outcome == lwtretry.Unknown:
 		forwarder.claims.Send(lwtclaim.Forget{Key: row, Nonce: call.id})
 	default:
--- a/io/lwtstandin/fault_relay.go
+++ b/io/lwtstandin/fault_relay.go
@@ -28,12 +28,16 @@
 	mutex    sync.Mutex
 	fault    RelayFault
 	left     int64
+	listener net.Listener
+	open     map[net.Conn]bool
 	accepted atomic.Int64
 	silenced atomic.Int64
 }
 
 // NewFaultRelay returns a relay to an address that passes everything on.
-func NewFaultRelay(target string) *FaultRelay { return &FaultRelay{target: target} }
+func NewFaultRelay(target string) *FaultRelay {
+	return &FaultRelay{target: target, open: map[net.Conn]bool{}}
+}
 
 // SetFault changes how connections accepted from now on fail.
 func (relay *FaultRelay) SetFault(fault RelayFault) {
@@ -48,8 +52,35 @@
 // Silenced returns the number of directions that have begun to swallow bytes.
 func (relay *FaultRelay) Silenced() int64 { return relay.silenced.Load() }
 
+// Close refuses further connections and breaks the open ones, as the death of
+// the target does.
+func (relay *FaultRelay) Close() {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	if relay.listener != nil {
+		// A listener that is closed already refuses as well.
+		_ = relay.listener.Close()
+	}
+	for conn := range relay.open {
+		closeQuietly(conn)
+	}
+}
+
+func (relay *FaultRelay) track(conn net.Conn, open bool) {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	if open {
+		relay.open[conn] = true
+	} else {
+		delete(relay.open, conn)
+	}
+}
+
 // Serve relays connections until the listener is closed.
 func (relay *FaultRelay) Serve(listener net.Listener) error {
+	relay.mutex.Lock()
+	relay.listener = listener
+	relay.mutex.Unlock()
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -76,6 +107,8 @@
 
 func (relay *FaultRelay) pass(caller net.Conn, fault RelayFault) {
 	defer closeQuietly(caller)
+	relay.track(caller, true)
+	defer relay.track(caller, false)
 	target, err := net.Dial("tcp", relay.target)
 	if err != nil {
 		return
