--- a/io/lwtdaemon/retry_test.go
+++ b/io/lwtdaemon/retry_test.go
@@ -36,7 +36,11 @@
 	client   *http.Client
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t *testing.T) *world { return newWorldOf(t, 1, false) }
+
+// newWorldOf returns a world that declares each engine under several names, so
+// that daemons have slots for more streams. Engines may be disturbed.
+func newWorldOf(t *testing.T, names int, disturbed bool) *world {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
@@ -53,13 +57,12 @@
 		Callers: []lwtstate.Caller{world.caller()},
 	}
 	for _, name := range []string{"engine1", "engine2"} {
-		engine, listener := lwtstandin.NewEngine(lwtstandin.DefaultEngineOptions(name, "m"), 1), listen(t)
-		go func() { _ = engine.Serve(listener) }()
-		go func() { _ = engine.Run(ctx) }()
-		world.engines[name] = engine
-		change.Engines = append(change.Engines, lwtstate.Engine{
-			Name: name, Address: world.relay(name, listener.Addr().String()), Role: lwtstate.RoleMixed, Models: []string{"m"},
-		})
+		address := world.engine(ctx, name, disturbed)
+		for i := range names {
+			change.Engines = append(change.Engines, lwtstate.Engine{
+				Name: name + strings.Repeat("'", i), Address: address, Role: lwtstate.RoleMixed, Models: []string{"m"},
+			})
+		}
 	}
 	service := lwtstate.Service{
 		Name: "shop", Timeout: lwtstate.Duration(4 * time.Second),
@@ -87,6 +90,23 @@
 	}
 }
 
+func (world *world) engine(ctx context.Context, name string, disturbed bool) string {
+	options := lwtstandin.DefaultEngineOptions(name, "m")
+	if disturbed {
+		options.StepTime, options.PrefillRate, options.MaxRunning = time.Millisecond, 1e9, 1<<14
+	}
+	engine, listener := lwtstandin.NewEngine(options, 1), listen(world.t)
+	go func() { _ = engine.Run(ctx) }()
+	world.engines[name] = engine
+	if disturbed {
+		// Without a relay a stream takes fewer of the process's open files.
+		go func() { _ = lwtstandin.NewFaultEngine(engine).Serve(listener) }()
+		return listener.Addr().String()
+	}
+	go func() { _ = engine.Serve(listener) }()
+	return world.relay(name, listener.Addr().String())
+}
+
 func (world *world) relay(name, target string) string {
 	relay, listener := lwtstandin.NewFaultRelay(target), listen(world.t)
 	go func() { _ = relay.Serve(listener) }()
--- a/io/lwtentry/server.go
+++ b/io/lwtentry/server.go
@@ -87,6 +87,8 @@
 	// Name identifies the daemon in request ids.
 	Name             string
 	AvailabilityZone string
+	// ReadTimeout bounds the time to read one request; zero means 15 s.
+	ReadTimeout time.Duration
 }
 
 // Bounds of callers' requests.
@@ -111,12 +113,15 @@
 // New returns a server.
 func New(dependencies Dependencies) *Server {
 	server := &Server{dependencies: dependencies, ids: newIDSource(dependencies.Name), retries: newRetries()}
+	if dependencies.ReadTimeout == 0 {
+		dependencies.ReadTimeout = readTimeout
+	}
 	server.http = &fasthttp.Server{
 		Handler:               server.handle,
 		ErrorHandler:          handleProtocolError,
 		MaxRequestBodySize:    maxBodyBytes,
 		ReadBufferSize:        maxHeaderBytes,
-		ReadTimeout:           readTimeout,
+		ReadTimeout:           dependencies.ReadTimeout,
 		IdleTimeout:           idleTimeout,
 		Concurrency:           maxConnections,
 		NoDefaultServerHeader: true,
--- a/io/lwtstandin/fault_engine.go
+++ b/io/lwtstandin/fault_engine.go
@@ -9,13 +9,15 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
 )
 
 // FaultEngine passes calls on to an engine and disturbs its event streams: it
 // answers late, sends neighbouring events in the wrong order, repeats events,
 // and mixes in events of streams that do not exist.
 type FaultEngine struct {
-	target string
+	engine *Engine
+	behind *fasthttputil.InmemoryListener
 	client *fasthttp.HostClient
 }
 
@@ -32,23 +34,28 @@
 // ForeignText is the text of the events that belong to nobody.
 const ForeignText = "FOREIGN"
 
-// NewFaultEngine returns a wrapper of the engine at an address.
-func NewFaultEngine(target string) *FaultEngine {
+// NewFaultEngine returns a wrapper of an engine.
+func NewFaultEngine(engine *Engine) *FaultEngine {
+	behind := fasthttputil.NewInmemoryListener()
 	client := &fasthttp.HostClient{
-		Addr: target, StreamResponseBody: true, MaxConns: 1 << 14, MaxIdemponentCallAttempts: 1,
+		Addr: engine.options.Name, StreamResponseBody: true, MaxConns: 1 << 14, MaxIdemponentCallAttempts: 1,
+		Dial: func(string) (net.Conn, error) { return behind.Dial() },
 	}
-	return &FaultEngine{target: target, client: client}
+	return &FaultEngine{engine: engine, behind: behind, client: client}
 }
 
 // Serve answers calls on a listener until it is closed.
 func (engine *FaultEngine) Serve(listener net.Listener) error {
+	go func() { _ = engine.engine.Serve(engine.behind) }()
+	// The listener in memory closes without an error.
+	defer func() { _ = engine.behind.Close() }()
 	return (&fasthttp.Server{Handler: engine.handle, NoDefaultServerHeader: true}).Serve(listener)
 }
 
 func (engine *FaultEngine) handle(ctx *fasthttp.RequestCtx) {
 	request, response := &fasthttp.Request{}, &fasthttp.Response{}
 	ctx.Request.CopyTo(request)
-	request.SetHost(engine.target)
+	request.SetHost("engine")
 	if err := engine.client.Do(request, response); err != nil {
 		ctx.SetStatusCode(fasthttp.StatusBadGateway)
 		return
@@ -114,3 +121,10 @@
 		}
 	}
 }
+
+// Streams returns the number of streams that the engine runs or has waiting.
+func (engine *Engine) Streams() int {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return len(engine.running) + len(engine.waiting)
+}
--- a/io/lwtstandin/fault_relay.go
+++ b/io/lwtstandin/fault_relay.go
@@ -49,6 +49,13 @@
 // Accepted returns the number of connections accepted so far.
 func (relay *FaultRelay) Accepted() int64 { return relay.accepted.Load() }
 
+// Open returns the number of open connections.
+func (relay *FaultRelay) Open() int {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	return len(relay.open)
+}
+
 // Silenced returns the number of directions that have begun to swallow bytes.
 func (relay *FaultRelay) Silenced() int64 { return relay.silenced.Load() }
 
