Merge claims of many daemons and measure them in virtual time

Change: lwtclaim.Collector merges the batches of many daemons; only the table decides, so a lost collector costs nothing but a repetition. The simulation moves to lwtfault, which also measures claims and fair shares. The fleet of the socket tests moves to lwtstandin.

--- a/core/lwtclaim/model.go
+++ b/core/lwtclaim/model.go
@@ -64,6 +64,12 @@
 // Held returns the number of claims that the daemon works on.
 func (model Model) Held() int { return len(model.claims) }
 
+// Holds reports whether the daemon works on the claim of a key.
+func (model Model) Holds(key string) bool {
+	_, found := model.claims[key]
+	return found
+}
+
 // Update returns the model after a message, and the commands to carry out.
 func (model Model) Update(now time.Time, msg Msg) (Model, []Cmd) {
 	if open, isOpen := msg.(Open); isOpen {
--- /dev/null
+++ b/core/lwtfault/experiment_test.go
@@ -0,0 +1,89 @@
+package lwtfault_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"lacewingtide/core/lwtclaim"
+	"lacewingtide/core/lwtfault"
+)
+
+// TestNothingRunsTwice guards against an order that runs twice and against a
+// request that ran although its caller was told not-run, under lost store
+// answers, store outages, deaths of daemons and collectors at any step, shops
+// that crash before or after an order, and callers that retry through other
+// daemons. It also guards against keys that stay blocked without a cause.
+func TestNothingRunsTwice(t *testing.T) {
+	const seeds = 4
+	requests := make([]int, seeds)
+	t.Run("seeds", func(t *testing.T) {
+		for seed := range seeds {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				result := lwtfault.Run(lwtfault.Experiment{
+					Seed: uint64(20261204 + seed), Daemons: 6, Options: lwtclaim.DefaultOptions(),
+					Collectors: seed % 2 * 2, CollectorOptions: lwtclaim.DefaultOptions(),
+					Orders: 15_000, Interval: 8 * time.Millisecond, Retries: 4, Twice: 0.05, Faults: 0.05,
+				})
+				for i, broken := range result.Broken {
+					if i < 10 {
+						t.Error(broken)
+					}
+				}
+				checkHistories(t, result)
+				requests[seed] = len(result.Requests)
+				t.Logf("%d requests, %d deaths, %d transactions, told %v, %d orders ran",
+					len(result.Requests), result.Deaths, result.Transactions, result.Told, result.Ran)
+			})
+		}
+	})
+	if total := requests[0] + requests[1] + requests[2] + requests[3]; total < 100_000 {
+		t.Errorf("%d requests, want 100,000", total)
+	}
+}
+
+// claimModel is what callers may see of one key: taken says that a request
+// with the key may have run.
+var claimModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{false} },
+	Step: func(taken, _, outcome any) []any {
+		switch {
+		case outcome == "done" && taken == false, outcome == "replay" && taken == true:
+			return []any{true}
+		case outcome == "unknown":
+			return []any{taken, true}
+		case outcome == "not-run":
+			return []any{taken}
+		}
+		return nil
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// checkHistories guards against answers that no order of the requests of a key
+// explains, such as two different requests that were both told done.
+func checkHistories(t *testing.T, result lwtfault.Result) {
+	t.Helper()
+	histories := map[string][]porcupine.Operation{}
+	for i, request := range result.Requests {
+		end := request.End.UnixNano()
+		if request.Outcome == "unknown" {
+			// The request may still take effect after its caller gave up.
+			end = result.End.UnixNano() + 1
+		}
+		histories[request.Key] = append(histories[request.Key], porcupine.Operation{
+			ClientId: i, Call: request.Begin.UnixNano(), Output: request.Outcome, Return: end,
+		})
+	}
+	model := claimModel.ToModel()
+	for _, key := range slices.Sorted(maps.Keys(histories)) {
+		if len(histories[key]) > 1 && !porcupine.CheckOperations(model, histories[key]) {
+			t.Errorf("history of %s is not linearizable: %+v", key, histories[key])
+		}
+	}
+}
--- /dev/null
+++ b/core/lwtfault/fairness.go
@@ -0,0 +1,132 @@
+package lwtfault
+
+import (
+	"fmt"
+	"time"
+
+	"lacewingtide/core/lwtlimit"
+	"lacewingtide/core/lwtstate"
+)
+
+// Fairness describes a run of one daemon whose callers offer work to engines
+// with a bounded number of streams.
+type Fairness struct {
+	Seed uint64
+	// Slots is the number of streams that the engines run at once; further
+	// admitted ones wait in order.
+	Slots int
+	// Callers offer equal shares that together fill Load of the slots; the
+	// first one offers Burst times its share.
+	Callers int
+	Load    float64
+	Burst   float64
+	// Service is the mean time of one stream, and Deadline the time within
+	// which it must begin.
+	Service, Deadline time.Duration
+	Length            time.Duration
+	// Shared turns fair shares off: every request is admitted.
+	Shared bool
+}
+
+// FairnessResult is what the callers saw.
+type FairnessResult struct {
+	// Others counts the requests of the callers that kept to their shares,
+	// Late those among them that began after their deadline, and Rejected those
+	// not admitted.
+	Others, Late, Rejected int
+	// Burst and BurstServed count the first caller's requests.
+	Burst, BurstServed int
+}
+
+// Missed returns the share of the others' requests that were not served in time.
+func (result FairnessResult) Missed() float64 {
+	return float64(result.Late+result.Rejected) / float64(result.Others)
+}
+
+type fairness struct {
+	clock
+	Fairness
+	limits   lwtlimit.Limits
+	accounts []lwtlimit.Account
+	waiting  []func()
+	running  int
+	result   FairnessResult
+}
+
+// RunFairness carries out a run in virtual time.
+func RunFairness(options Fairness) FairnessResult {
+	run := &fairness{
+		clock: newClock(options.Seed), Fairness: options, limits: lwtlimit.New(options.Slots),
+		accounts: make([]lwtlimit.Account, options.Callers),
+	}
+	end := run.now.Add(options.Length)
+	for caller := range options.Callers {
+		run.offer(caller, end)
+	}
+	run.run()
+	return run.result
+}
+
+// offer has a caller send requests until the end.
+func (run *fairness) offer(caller int, end time.Time) {
+	rate := run.Load * float64(run.Slots) / run.Service.Seconds() / float64(run.Callers)
+	if caller == 0 {
+		rate *= run.Burst
+	}
+	run.after(time.Duration(run.random.ExpFloat64()/rate*float64(time.Second)), func() {
+		if run.now.Before(end) {
+			run.request(caller)
+			run.offer(caller, end)
+		}
+	})
+}
+
+func (run *fairness) request(caller int) {
+	if caller == 0 {
+		run.result.Burst++
+	} else {
+		run.result.Others++
+	}
+	admitted := run.Shared
+	if !run.Shared {
+		var verdict lwtlimit.Verdict
+		declared := lwtstate.Caller{Name: fmt.Sprint(caller)}
+		run.limits, run.accounts[caller], verdict = run.limits.Take(run.now, declared, run.accounts[caller])
+		admitted = verdict.Admitted
+	}
+	if !admitted {
+		if caller > 0 {
+			run.result.Rejected++
+		}
+		return
+	}
+	arrived := run.now
+	run.waiting = append(run.waiting, func() { run.serve(caller, arrived) })
+	run.next()
+}
+
+func (run *fairness) next() {
+	for run.running < run.Slots && len(run.waiting) > 0 {
+		begin := run.waiting[0]
+		run.waiting = run.waiting[1:]
+		run.running++
+		begin()
+	}
+}
+
+func (run *fairness) serve(caller int, arrived time.Time) {
+	late := run.now.Sub(arrived) > run.Deadline
+	if late && caller > 0 {
+		run.result.Late++
+	}
+	if !late && caller == 0 {
+		run.result.BurstServed++
+	}
+	run.after(time.Duration(run.random.ExpFloat64()*float64(run.Service)), func() {
+		run.running--
+		if !run.Shared {
+			run.limits, run.accounts[caller] = run.limits.Release(run.accounts[caller])
+		}
+		run.next()
+	})
+}
--- /dev/null
+++ b/core/lwtfault/measure_test.go
@@ -0,0 +1,74 @@
+package lwtfault_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lacewingtide/core/lwtclaim"
+	"lacewingtide/core/lwtfault"
+)
+
+// BenchmarkClaims measures the load on the table and the time that claims take,
+// at 4,600 requests/s of which 10% are orders with a key.
+func BenchmarkClaims(b *testing.B) {
+	const orders = 460
+	single := lwtclaim.Options{BatchSize: 1, InFlight: 1 << 20, Held: 1 << 20}
+	direct := lwtclaim.Options{BatchSize: 64, InFlight: 4, Held: 4096}
+	collect := lwtclaim.Options{Window: 20 * time.Millisecond, BatchSize: 64, InFlight: 2}
+	for _, daemons := range []int{4, 16, 64, 370} {
+		for _, mode := range []struct {
+			name       string
+			options    lwtclaim.Options
+			collectors int
+		}{{"single", single, 0}, {"batched", lwtclaim.DefaultOptions(), 0}, {"collected", direct, 4}} {
+			b.Run(fmt.Sprintf("%s/daemons=%d", mode.name, daemons), func(b *testing.B) {
+				var result lwtfault.Result
+				for range b.N {
+					result = lwtfault.Run(lwtfault.Experiment{
+						Seed: 1, Daemons: daemons, Options: mode.options, Collectors: mode.collectors,
+						CollectorOptions: collect, Orders: 60 * orders, Interval: time.Second / orders,
+					})
+				}
+				b.ReportMetric(result.TransactionsPerSecond(), "transactions/s")
+				b.ReportMetric(result.Wait(0.5).Seconds()*1000, "p50-ms")
+				b.ReportMetric(result.Wait(0.99).Seconds()*1000, "p99-ms")
+				if len(result.Broken) > 0 {
+					b.Error(result.Broken[0])
+				}
+			})
+		}
+	}
+}
+
+func fairnessOf(shared bool, burst float64) lwtfault.Fairness {
+	return lwtfault.Fairness{
+		Seed: 1, Slots: 256, Callers: 20, Load: 0.7, Burst: burst, Service: 4 * time.Second,
+		Deadline: 600 * time.Millisecond, Length: 10 * time.Minute, Shared: shared,
+	}
+}
+
+// BenchmarkFairness measures the share of other callers' requests that are not
+// served in time while one caller offers 10 times its share.
+func BenchmarkFairness(b *testing.B) {
+	for _, burst := range []float64{1, 10} {
+		for _, shared := range []bool{true, false} {
+			b.Run(fmt.Sprintf("burst=%v/fair=%v", burst, !shared), func(b *testing.B) {
+				var result lwtfault.FairnessResult
+				for range b.N {
+					result = lwtfault.RunFairness(fairnessOf(shared, burst))
+				}
+				b.ReportMetric(100*result.Missed(), "%-others-missed")
+				b.ReportMetric(100*float64(result.BurstServed)/float64(result.Burst), "%-burst-served")
+			})
+		}
+	}
+}
+
+// TestBurstCostsOthersNoDeadlines guards against fair shares that let one caller
+// at 10 times its share take the deadlines of the others.
+func TestBurstCostsOthersNoDeadlines(t *testing.T) {
+	if missed := lwtfault.RunFairness(fairnessOf(false, 10)).Missed(); missed > 0.01 {
+		t.Errorf("%.1f%% of the others' requests missed", 100*missed)
+	}
+}
--- a/io/lwtentry/listener.go
+++ b/io/lwtentry/listener.go
@@ -1,9 +1,14 @@
 package lwtentry
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"time"
+
+	"github.com/go-kit/log"
+
+	"lacewingtide/io/lwtlog"
 )
 
 // Bounds of callers' connections.
@@ -42,6 +47,14 @@
 	return &callerConn{TCPConn: socket}, nil
 }
 
+// connectionLog writes what the HTTP server reports of connections.
+type connectionLog struct{ logger log.Logger }
+
+// Printf implements fasthttp.Logger.
+func (connections connectionLog) Printf(format string, values ...any) {
+	lwtlog.Debug(connections.logger, "connection-failed", "detail", fmt.Sprintf(format, values...))
+}
+
 // callerConn is a connection to a caller.
 type callerConn struct{ *net.TCPConn }
 
--- a/io/lwtentry/server.go
+++ b/io/lwtentry/server.go
@@ -125,6 +125,7 @@
 		IdleTimeout:           idleTimeout,
 		Concurrency:           maxConnections,
 		NoDefaultServerHeader: true,
+		Logger:                connectionLog{dependencies.Logger},
 		CloseOnShutdown:       true,
 		// Bodies of calls to services pass through unchanged.
 		DisablePreParseMultipartForm: true,
--- a/io/lwtstandin/engine_http.go
+++ b/io/lwtstandin/engine_http.go
@@ -33,7 +33,7 @@
 
 // Serve answers calls on a listener until it is closed.
 func (engine *Engine) Serve(listener net.Listener) error {
-	server := &fasthttp.Server{Handler: engine.handle, NoDefaultServerHeader: true}
+	server := &fasthttp.Server{Handler: engine.handle, NoDefaultServerHeader: true, Logger: quiet{}}
 	return server.Serve(listener)
 }
 
--- a/io/lwtstandin/fault_engine.go
+++ b/io/lwtstandin/fault_engine.go
@@ -49,7 +49,7 @@
 	go func() { _ = engine.engine.Serve(engine.behind) }()
 	// The listener in memory closes without an error.
 	defer func() { _ = engine.behind.Close() }()
-	return (&fasthttp.Server{Handler: engine.handle, NoDefaultServerHeader: true}).Serve(listener)
+	return (&fasthttp.Server{Handler: engine.handle, NoDefaultServerHeader: true, Logger: quiet{}}).Serve(listener)
 }
 
 func (engine *FaultEngine) handle(ctx *fasthttp.RequestCtx) {
--- a/io/lwtstandin/fault_relay.go
+++ b/io/lwtstandin/fault_relay.go
@@ -160,3 +160,9 @@
 		return
 	}
 }
+
+// quiet drops the log lines of a stand-in whose connections are meant to break.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
--- a/io/lwtstandin/fault_shop.go
+++ b/io/lwtstandin/fault_shop.go
@@ -57,7 +57,7 @@
 
 // Serve answers calls on a listener until it is closed.
 func (shop *FaultShop) Serve(listener net.Listener) error {
-	return (&fasthttp.Server{Handler: shop.handleFault, NoDefaultServerHeader: true}).Serve(listener)
+	return (&fasthttp.Server{Handler: shop.handleFault, NoDefaultServerHeader: true, Logger: quiet{}}).Serve(listener)
 }
 
 func (shop *FaultShop) handleFault(ctx *fasthttp.RequestCtx) {
