Copy a small part of the claims at each change

The home daemons of a caller are selected without sorting all names. Scripts record a wake-up at the time of a give-up that is no longer due, which changes nothing.

--- /dev/null
+++ b/core/lwtclaim/measure_test.go
@@ -0,0 +1,36 @@
+package lwtclaim_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lacewingtide/core/lwtclaim"
+)
+
+// BenchmarkClaim measures all decisions of one claim, while the daemon holds
+// others: opened, written, finished, written.
+func BenchmarkClaim(b *testing.B) {
+	for _, held := range []int{0, 100, 4000} {
+		b.Run(fmt.Sprint("held=", held), func(b *testing.B) {
+			options := lwtclaim.Options{BatchSize: 1, InFlight: 1 << 20, Held: 1 << 20}
+			model, now, version := lwtclaim.New("d", options), time.Unix(1_000_000, 0), int64(0)
+			open := func(key string) {
+				var cmds []lwtclaim.Cmd
+				model, cmds = model.Update(now, lwtclaim.Open{Key: key, Nonce: key, RequestHash: key, GiveUp: now.Add(time.Hour)})
+				version++
+				model, _ = model.Update(now, lwtclaim.Committed{Batch: cmds[0].(lwtclaim.Commit).Batch, Version: version})
+			}
+			for i := range held {
+				open(fmt.Sprint("held", i))
+			}
+			for i := 0; b.Loop(); i++ {
+				open("key")
+				var cmds []lwtclaim.Cmd
+				model, cmds = model.Update(now, lwtclaim.Finish{Key: "key", Nonce: "key"})
+				version++
+				model, _ = model.Update(now, lwtclaim.Committed{Batch: cmds[0].(lwtclaim.Commit).Batch, Version: version})
+			}
+		})
+	}
+}
--- a/core/lwtclaim/model.go
+++ b/core/lwtclaim/model.go
@@ -43,7 +43,7 @@
 type Model struct {
 	daemon  string
 	options Options
-	claims  map[string]claim
+	claims  heldClaims
 	queue   []string
 	batches map[uint64][]entry
 	last    uint64
@@ -53,20 +53,22 @@
 	losses int
 	// downUntil is when the next probe of a store in an outage may be sent.
 	downUntil time.Time
-	wakeAt    time.Time
+	// nextGiveUp is not later than the first time at which a claim gives up.
+	nextGiveUp time.Time
+	wakeAt     time.Time
 }
 
 // New returns a model without claims. Daemon names the daemon in rows.
 func New(daemon string, options Options) Model {
-	return Model{daemon: daemon, options: options, claims: map[string]claim{}, batches: map[uint64][]entry{}}
+	return Model{daemon: daemon, options: options, batches: map[uint64][]entry{}}
 }
 
 // Held returns the number of claims that the daemon works on.
-func (model Model) Held() int { return len(model.claims) }
+func (model Model) Held() int { return model.claims.count }
 
 // Holds reports whether the daemon works on the claim of a key.
 func (model Model) Holds(key string) bool {
-	_, found := model.claims[key]
+	_, found := model.claims.get(key)
 	return found
 }
 
@@ -79,12 +81,11 @@
 	}
 	if _, isTick := msg.(Tick); isTick {
 		model.wakeAt = time.Time{}
-		if len(model.overdue(now)) == 0 && !model.due(now) {
+		if !model.overdue(now) && !model.due(now) {
 			return model.wake(now, nil)
 		}
 	}
-	model.claims, model.batches = maps.Clone(model.claims), maps.Clone(model.batches)
-	model.queue = slices.Clone(model.queue)
+	model.batches, model.queue = maps.Clone(model.batches), slices.Clone(model.queue)
 	var cmds []Cmd
 	switch msg := msg.(type) {
 	case Open:
@@ -94,8 +95,8 @@
 	case Release:
 		model = model.settle(now, msg.Key, msg.Nonce, abandoning, Outcome{})
 	case Forget:
-		if model.claims[msg.Key].nonce == msg.Nonce {
-			delete(model.claims, msg.Key)
+		if held, _ := model.claims.get(msg.Key); held.nonce == msg.Nonce {
+			model.claims = model.claims.without(msg.Key)
 		}
 	case Committed:
 		model, cmds = model.committed(now, msg)
@@ -112,7 +113,7 @@
 // answerEarly answers an Open that needs no write.
 func (model Model) answerEarly(now time.Time, open Open) (Answer, bool) {
 	answer := Answer{Key: open.Key, Nonce: open.Nonce, Verdict: NotRun}
-	held, found := model.claims[open.Key]
+	held, found := model.claims.get(open.Key)
 	switch {
 	case found && held.phase == finishing:
 		row := Row{RequestHash: held.hash, State: StateDone, Outcome: &held.outcome}
@@ -121,15 +122,18 @@
 		return answer, true
 	case found:
 		return claim{key: open.Key, nonce: open.Nonce, hash: open.RequestHash}.verdict(Row{RequestHash: held.hash}), true
-	case len(model.claims) >= model.options.Held, now.Before(model.downUntil), !now.Before(open.GiveUp):
+	case model.claims.count >= model.options.Held, now.Before(model.downUntil), !now.Before(open.GiveUp):
 		return answer, true
 	}
 	return Answer{}, false
 }
 
 func (model Model) open(now time.Time, open Open) Model {
-	model.claims[open.Key] = claim{
+	model.claims = model.claims.with(claim{
 		key: open.Key, nonce: open.Nonce, hash: open.RequestHash, opened: now, giveUp: open.GiveUp,
+	})
+	if model.nextGiveUp.IsZero() || open.GiveUp.Before(model.nextGiveUp) {
+		model.nextGiveUp = open.GiveUp
 	}
 	return model.enqueue(now, open.Key)
 }
@@ -144,96 +148,107 @@
 
 // settle ends a running claim.
 func (model Model) settle(now time.Time, key, nonce string, to phase, outcome Outcome) Model {
-	held, found := model.claims[key]
+	held, found := model.claims.get(key)
 	if !found || held.nonce != nonce || held.phase != running {
 		return model
 	}
 	held.phase, held.outcome = to, outcome
-	model.claims[key] = held
+	model.claims = model.claims.with(held)
 	return model.enqueue(now, key)
 }
 
-// take removes a batch and calls update for each claim of it that is still
-// held.
-func (model Model) take(batch uint64, update func(held claim, written entry)) {
-	entries := model.batches[batch]
-	delete(model.batches, batch)
-	for _, written := range entries {
-		held, found := model.claims[written.key]
-		if !found || held.nonce != written.nonce {
+// written is a claim whose write has come back, with the state that was written.
+type written struct {
+	claim
+	wrote State
+}
+
+// take removes a batch and returns those of its claims that are still held.
+func (model Model) take(batch uint64) (Model, []written) {
+	var taken []written
+	for _, entry := range model.batches[batch] {
+		held, found := model.claims.get(entry.key)
+		if !found || held.nonce != entry.nonce {
 			continue
 		}
 		held.inFlight = false
-		model.claims[written.key] = held
-		update(held, written)
+		taken = append(taken, written{held, entry.state})
 	}
+	delete(model.batches, batch)
+	return model, taken
 }
 
 func (model Model) committed(now time.Time, msg Committed) (Model, []Cmd) {
 	var cmds []Cmd
+	var taken []written
 	model.losses, model.downUntil = 0, time.Time{}
-	model.take(msg.Batch, func(held claim, written entry) {
+	model, taken = model.take(msg.Batch)
+	for _, held := range taken {
 		held.version = msg.Version
 		switch {
-		case written.state != StateOpen:
-			delete(model.claims, held.key)
+		case held.wrote != StateOpen:
+			model.claims = model.claims.without(held.key)
 			cmds = append(cmds, Settled{Key: held.key, Nonce: held.nonce})
-			return
+			continue
 		case held.phase == opening:
 			held.phase = running
 			cmds = append(cmds, Answer{Key: held.key, Nonce: held.nonce, Verdict: Granted})
 		case held.phase == abandoning:
 			model = model.enqueue(now, held.key)
 		}
-		model.claims[held.key] = held
-	})
+		model.claims = model.claims.with(held.claim)
+	}
 	return model, cmds
 }
 
 func (model Model) conflicted(now time.Time, msg Conflicted) (Model, []Cmd) {
 	var cmds []Cmd
+	var taken []written
 	model.losses, model.downUntil = 0, time.Time{}
 	rows := make(map[string]Stored, len(msg.Rows))
 	for _, row := range msg.Rows {
 		rows[row.Key] = row
 	}
-	model.take(msg.Batch, func(held claim, _ entry) {
+	model, taken = model.take(msg.Batch)
+	for _, held := range taken {
 		stored := rows[held.key]
 		switch held.judge(now, stored) {
 		case again:
 			held.version = stored.Version
-			model.claims[held.key] = held
+			model.claims = model.claims.with(held.claim)
 			model = model.enqueue(now, held.key)
 			model.flushAt = now
 		case won:
 			held.version, held.phase = stored.Version, running
-			model.claims[held.key] = held
+			model.claims = model.claims.with(held.claim)
 			cmds = append(cmds, Answer{Key: held.key, Nonce: held.nonce, Verdict: Granted})
 		case over:
-			delete(model.claims, held.key)
+			model.claims = model.claims.without(held.key)
 			cmds = append(cmds, Settled{Key: held.key, Nonce: held.nonce})
 		case lost:
-			delete(model.claims, held.key)
+			model.claims = model.claims.without(held.key)
 			cmds = append(cmds, held.verdict(stored.Row))
 		}
-	})
+	}
 	return model, cmds
 }
 
 func (model Model) lost(now time.Time, msg Lost) (Model, []Cmd) {
 	var cmds []Cmd
+	var taken []written
 	model.losses++
 	if model.losses >= outageLosses {
 		model.downUntil = now.Add(pause(model.losses, msg.Batch))
 	}
-	model.take(msg.Batch, func(held claim, _ entry) {
+	model, taken = model.take(msg.Batch)
+	for _, held := range taken {
 		if held.phase == opening && model.losses >= outageLosses {
 			held.phase = abandoning
 			cmds = append(cmds, Answer{Key: held.key, Nonce: held.nonce, Verdict: NotRun})
-			model.claims[held.key] = held
 		}
+		model.claims = model.claims.with(held.claim)
 		model = model.enqueue(now, held.key)
-	})
+	}
 	return model, cmds
 }
 
@@ -246,35 +261,36 @@
 	return longest/2 + longest/2*part/parts
 }
 
+// overdue reports whether a claim may have to give up.
+func (model Model) overdue(now time.Time) bool {
+	return !model.nextGiveUp.IsZero() && !now.Before(model.nextGiveUp)
+}
+
 // giveUp answers the requests whose time has passed.
 func (model Model) giveUp(now time.Time, cmds []Cmd) (Model, []Cmd) {
-	for _, key := range model.overdue(now) {
-		held := model.claims[key]
+	if !model.overdue(now) {
+		return model, cmds
+	}
+	model.nextGiveUp = time.Time{}
+	for _, held := range model.claims.opening() {
+		if now.Before(held.giveUp) {
+			if model.nextGiveUp.IsZero() || held.giveUp.Before(model.nextGiveUp) {
+				model.nextGiveUp = held.giveUp
+			}
+			continue
+		}
 		cmds = append(cmds, Answer{Key: held.key, Nonce: held.nonce, Verdict: NotRun})
-		if !held.sent {
-			delete(model.claims, key)
-			model.queue = slices.DeleteFunc(model.queue, func(queued string) bool { return queued == key })
+		if held.sent {
+			held.phase = abandoning
+			model.claims = model.claims.with(held)
 			continue
 		}
-		held.phase = abandoning
-		model.claims[key] = held
+		model.claims = model.claims.without(held.key)
+		model.queue = slices.DeleteFunc(model.queue, func(queued string) bool { return queued == held.key })
 	}
 	return model, cmds
 }
 
-// overdue returns the keys to give up, sorted so that equal inputs give equal
-// commands.
-func (model Model) overdue(now time.Time) []string {
-	var keys []string
-	for key, held := range model.claims {
-		if held.phase == opening && !now.Before(held.giveUp) {
-			keys = append(keys, key)
-		}
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // flush sends the batches that are due.
 func (model Model) flush(now time.Time, cmds []Cmd) (Model, []Cmd) {
 	for model.due(now) {
@@ -304,9 +320,9 @@
 	commit := Commit{Batch: model.last, Writes: make([]Write, 0, size)}
 	entries := make([]entry, 0, size)
 	for _, key := range model.queue[:size] {
-		held := model.claims[key]
+		held, _ := model.claims.get(key)
 		held.sent, held.inFlight = true, true
-		model.claims[key] = held
+		model.claims = model.claims.with(held)
 		commit.Writes = append(commit.Writes, held.write(model.daemon))
 		entries = append(entries, entry{key: key, nonce: held.nonce, state: held.state()})
 	}
@@ -324,10 +340,8 @@
 			next = at
 		}
 	}
-	for _, held := range model.claims {
-		if held.phase == opening {
-			earlier(held.giveUp)
-		}
+	if !model.nextGiveUp.IsZero() {
+		earlier(model.nextGiveUp)
 	}
 	if len(model.queue) > 0 {
 		due := model.flushAt
--- /dev/null
+++ b/core/lwtlimit/measure_test.go
@@ -0,0 +1,56 @@
+package lwtlimit_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+	"unsafe"
+
+	"lacewingtide/core/lwtlimit"
+	"lacewingtide/core/lwtstate"
+)
+
+// BenchmarkTake measures one admission and release, and the size of an account.
+func BenchmarkTake(b *testing.B) {
+	caller, now := lwtstate.Caller{Name: "c", Rate: 1e12, Concurrency: 100}, time.Unix(1_000_000, 0)
+	limits := lwtlimit.New(1000)
+	account := lwtlimit.NewAccount(now, lwtlimit.PartOf("d", "c", []string{"d"}))
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		limits, account, _ = limits.Take(now, caller, account)
+		limits, account = limits.Release(account)
+	}
+	b.ReportMetric(float64(unsafe.Sizeof(account)), "B/account")
+}
+
+// BenchmarkPartOf measures the part of one caller among 370 daemons, which is
+// computed when the daemons change.
+func BenchmarkPartOf(b *testing.B) {
+	var daemons []string
+	for i := range 370 {
+		daemons = append(daemons, fmt.Sprint("daemon-", i))
+	}
+	for b.Loop() {
+		lwtlimit.PartOf("daemon-7", "caller", daemons)
+	}
+}
+
+// BenchmarkMemory measures the memory of the accounts of 870 callers.
+func BenchmarkMemory(b *testing.B) {
+	const callers = 870
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		accounts, parts := map[string]lwtlimit.Account{}, map[string]lwtlimit.Part{}
+		for i := range callers {
+			accounts[fmt.Sprint("caller-", i)], parts[fmt.Sprint("caller-", i)] = lwtlimit.Account{}, lwtlimit.Part{}
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(accounts)
+		runtime.KeepAlive(parts)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/callers, "B/caller")
+}
--- a/core/lwtlimit/part.go
+++ b/core/lwtlimit/part.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"hash"
 	"hash/fnv"
 	"slices"
 )
@@ -51,15 +52,36 @@
 
 // Homes returns the caller's home daemons by rendezvous hashing, best first.
 func Homes(caller string, daemons []string) []string {
-	unique := slices.Compact(slices.Sorted(slices.Values(daemons)))
-	slices.SortStableFunc(unique, func(a, b string) int { return cmp.Compare(weight(caller, b), weight(caller, a)) })
-	return unique[:min(homeDaemons, len(unique))]
+	type candidate struct {
+		name   string
+		weight uint64
+	}
+	best, digest := make([]candidate, 0, homeDaemons+1), fnv.New64a()
+	name := append([]byte(caller), 0)
+	for _, daemon := range daemons {
+		name = append(name[:len(caller)+1], daemon...)
+		one := candidate{daemon, weight(digest, name)}
+		at, found := slices.BinarySearchFunc(best, one, func(a, b candidate) int {
+			return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.name, b.name))
+		})
+		if found || at == homeDaemons {
+			continue
+		}
+		best = slices.Insert(best, at, one)
+		best = best[:min(len(best), homeDaemons)]
+	}
+	homes := make([]string, len(best))
+	for i := range best {
+		homes[i] = best[i].name
+	}
+	return homes
 }
 
-func weight(caller, daemon string) uint64 {
-	digest := fnv.New64a()
+// weight hashes a name of the form CALLER, 0, DAEMON.
+func weight(digest hash.Hash64, name []byte) uint64 {
+	digest.Reset()
 	// Writing to a hash never fails.
-	_, _ = digest.Write([]byte(caller + "\x00" + daemon))
+	_, _ = digest.Write(name)
 	// FNV alone leaves the high bits of similar names alike; the multiplication mixes them.
 	sum := digest.Sum64()
 	sum ^= sum >> 33
