Report service-level burn from a ledger in each daemon

Cause: operators need to see how fast error budgets are spent and by what. Change: core/lwtburn judges each answer against its class's objective and keeps counts per class and caller for windows from 5 minutes to 3 days, with multi-window alerts and the engine and state number that spent the budget; io/lwtreport renders text and HTML; tally metrics in Prometheus text.

--- /dev/null
+++ b/core/lwtburn/burn_test.go
@@ -0,0 +1,103 @@
+package lwtburn
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/txtar"
+	"pgregory.net/rapid"
+
+	"lacewingtide/core/lwtstate"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func objectives() map[lwtstate.Class]lwtstate.Objective {
+	return map[lwtstate.Class]lwtstate.Objective{lwtstate.ClassChat: {Class: lwtstate.ClassChat, Target: 0.99}}
+}
+
+// TestScripts guards against wrong windows, burn rates and alerts.
+func TestScripts(t *testing.T) {
+	archive, err := txtar.ParseFile("testdata/burn.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i < len(archive.Files); i += 2 {
+		steps, want := archive.Files[i], archive.Files[i+1]
+		t.Run(steps.Name, func(t *testing.T) {
+			if got := runScript(t, string(steps.Data)); got != string(want.Data) {
+				t.Errorf("got:\n%swant:\n%s", got, want.Data)
+			}
+		})
+	}
+}
+
+func runScript(t *testing.T, script string) string {
+	t.Helper()
+	ledger := New("d1")
+	var out strings.Builder
+	for line := range strings.Lines(script) {
+		var offset, class, caller, outcome string
+		var count int
+		if n, _ := fmt.Sscanf(line, "at %s %s %s %s %d", &offset, &class, &caller, &outcome, &count); n == 5 {
+			event := Event{Key: Key{lwtstate.Class(class), caller}, Outcome: Outcome(outcome)}
+			for range count {
+				ledger.Add(epoch.Add(span(t, offset)), event)
+			}
+			continue
+		}
+		if _, err := fmt.Sscanf(line, "report %s", &offset); err != nil {
+			t.Fatalf("line %q: %v", line, err)
+		}
+		printReport(&out, NewReport(ledger.Snapshot(epoch.Add(span(t, offset))), objectives()))
+	}
+	return out.String()
+}
+
+func span(t *testing.T, text string) time.Duration {
+	t.Helper()
+	span, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return span
+}
+
+func printReport(out *strings.Builder, report Report) {
+	for _, line := range report.Lines {
+		for _, window := range line.Windows {
+			if window.Span.Std() == 5*time.Minute || window.Span.Std() == time.Hour {
+				fmt.Fprintf(out, "%s %s %s total=%d bad=%d burn=%.2f\n", line.Key.Class, line.Key.Caller,
+					window.Span.Std(), window.Counts.Total(), window.Counts.Bad(), window.Burn)
+			}
+		}
+		for _, alert := range line.Alerts {
+			fmt.Fprintf(out, "alert %s %s %s\n", alert.Severity, alert.Long.Std(), alert.Short.Std())
+		}
+	}
+}
+
+// TestMergedSnapshotsEqualOneLedger guards against a report over several
+// daemons that counts a request twice or not at all.
+func TestMergedSnapshotsEqualOneLedger(t *testing.T) {
+	outcomes := []Outcome{OutcomeGood, OutcomeLate, OutcomeCut, OutcomeRejected, OutcomeUnknown}
+	rapid.Check(t, func(t *rapid.T) {
+		one, parts := New("all"), []*Ledger{New("d1"), New("d2"), New("d3")}
+		now := epoch
+		for range rapid.IntRange(0, 200).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 7200).Draw(t, "gap")) * time.Second)
+			event := Event{
+				Key:     Key{Class: lwtstate.ClassChat, Caller: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "caller")},
+				Outcome: rapid.SampledFrom(outcomes).Draw(t, "outcome"),
+			}
+			one.Add(now, event)
+			parts[rapid.IntRange(0, 2).Draw(t, "daemon")].Add(now, event)
+		}
+		merged := parts[0].Snapshot(now).With(parts[1].Snapshot(now)).With(parts[2].Snapshot(now))
+		if got, want := fmt.Sprint(merged.Rows), fmt.Sprint(one.Snapshot(now).Rows); got != want {
+			t.Fatalf("merged %s, want %s", got, want)
+		}
+	})
+}
--- /dev/null
+++ b/core/lwtburn/report.go
@@ -0,0 +1,164 @@
+package lwtburn
+
+import (
+	"slices"
+	"time"
+
+	"lacewingtide/core/lwtstate"
+)
+
+// Snapshot holds the counts of one or more daemons.
+type Snapshot struct {
+	Daemons []string `json:"daemons"`
+	Rows    []Row    `json:"rows"`
+	Causes  []Cause  `json:"causes"`
+}
+
+// Row holds the counts of one key, one entry for each of Windows.
+type Row struct {
+	Key    Key      `json:"key"`
+	Counts []Counts `json:"counts"`
+}
+
+// Cause says where budget was spent in the last 24 hours: by which engine and
+// under which state number, as seen by one daemon.
+type Cause struct {
+	Daemon string `json:"daemon"`
+	Engine string `json:"engine"`
+	Number int64  `json:"number"`
+	Counts Counts `json:"counts"`
+}
+
+// With returns the sum of two snapshots.
+func (snapshot Snapshot) With(other Snapshot) Snapshot {
+	sum := Snapshot{
+		Daemons: slices.Concat(snapshot.Daemons, other.Daemons),
+		Causes:  slices.Concat(snapshot.Causes, other.Causes),
+	}
+	rows := map[Key]Row{}
+	for _, row := range slices.Concat(snapshot.Rows, other.Rows) {
+		rows[row.Key] = rows[row.Key].with(row)
+	}
+	for _, row := range rows {
+		sum.Rows = append(sum.Rows, row)
+	}
+	return sum.sorted()
+}
+
+func (row Row) with(other Row) Row {
+	if row.Counts == nil {
+		return other
+	}
+	counts := slices.Clone(row.Counts)
+	for i := range min(len(counts), len(other.Counts)) {
+		counts[i] = counts[i].WithAll(other.Counts[i])
+	}
+	return Row{Key: row.Key, Counts: counts}
+}
+
+// Severity says how soon an alert needs a person.
+type Severity string
+
+// The severities of alerts.
+const (
+	SeverityPage   Severity = "page"
+	SeverityTicket Severity = "ticket"
+)
+
+// rule raises an alert when the burn over both windows is at least a rate. The
+// short window ends the alert soon after the cause has gone.
+type rule struct {
+	severity    Severity
+	long, short time.Duration
+	rate        float64
+}
+
+// A rate of 14.4 over an hour spends 2% of a 30-day budget; 6 over six hours
+// 5%; 3 over a day and 1 over three days 10%.
+func rules() []rule {
+	return []rule{
+		{SeverityPage, time.Hour, 5 * time.Minute, 14.4},
+		{SeverityPage, 6 * time.Hour, 30 * time.Minute, 6},
+		{SeverityTicket, 24 * time.Hour, 2 * time.Hour, 3},
+		{SeverityTicket, 72 * time.Hour, 6 * time.Hour, 1},
+	}
+}
+
+// Alert is a rule that holds for a key.
+type Alert struct {
+	Severity Severity `json:"severity"`
+	// Long and Short are the rule's windows, as text such as "1h0m0s".
+	Long  lwtstate.Duration `json:"long"`
+	Short lwtstate.Duration `json:"short"`
+	// Rate is the burn rate that both windows reach.
+	Rate float64 `json:"rate"`
+}
+
+// Window is the burn of one key over one window.
+type Window struct {
+	Span   lwtstate.Duration `json:"span"`
+	Counts Counts            `json:"counts"`
+	// Burn is the share of bad requests over the share that the objective
+	// allows; at 1 the budget is spent exactly by the end of its period.
+	Burn float64 `json:"burn"`
+}
+
+// Line is the burn of one key.
+type Line struct {
+	Key     Key      `json:"key"`
+	Target  float64  `json:"target"`
+	Windows []Window `json:"windows"`
+	Alerts  []Alert  `json:"alerts,omitempty"`
+}
+
+// Report is the burn of all keys with an objective.
+type Report struct {
+	Daemons []string `json:"daemons"`
+	Lines   []Line   `json:"lines"`
+	// Unbounded are the keys whose class has no objective.
+	Unbounded []Key   `json:"unbounded,omitempty"`
+	Causes    []Cause `json:"causes"`
+}
+
+// NewReport computes the burn of a snapshot under objectives.
+func NewReport(snapshot Snapshot, objectives map[lwtstate.Class]lwtstate.Objective) Report {
+	report := Report{Daemons: snapshot.Daemons, Causes: snapshot.Causes}
+	for _, row := range snapshot.Rows {
+		objective, found := objectives[row.Key.Class]
+		if !found || objective.Target <= 0 || objective.Target >= 1 {
+			report.Unbounded = append(report.Unbounded, row.Key)
+			continue
+		}
+		report.Lines = append(report.Lines, newLine(row, objective.Target))
+	}
+	return report
+}
+
+func newLine(row Row, target float64) Line {
+	line := Line{Key: row.Key, Target: target}
+	burn := map[time.Duration]float64{}
+	for i, span := range Windows() {
+		if i >= len(row.Counts) {
+			break
+		}
+		burn[span] = burnRate(row.Counts[i], target)
+		line.Windows = append(line.Windows,
+			Window{Span: lwtstate.Duration(span), Counts: row.Counts[i], Burn: burn[span]})
+	}
+	for _, rule := range rules() {
+		if burn[rule.long] >= rule.rate && burn[rule.short] >= rule.rate {
+			line.Alerts = append(line.Alerts, Alert{
+				Severity: rule.severity, Rate: rule.rate,
+				Long: lwtstate.Duration(rule.long), Short: lwtstate.Duration(rule.short),
+			})
+		}
+	}
+	return line
+}
+
+func burnRate(counts Counts, target float64) float64 {
+	if counts.Total() == 0 {
+		return 0
+	}
+	return float64(counts.Bad()) / float64(counts.Total()) / (1 - target)
+}
--- a/io/lwtcommand/serve.go
+++ b/io/lwtcommand/serve.go
@@ -27,7 +27,11 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	return lwtdaemon.New(settings, listeners, lwtlog.New(command.streams.err, settings.LogLevel)).Run(ctx)
+	var daemon *lwtdaemon.Daemon
+	if daemon, err = lwtdaemon.New(settings, listeners, lwtlog.New(command.streams.err, settings.LogLevel)); err != nil {
+		return err
+	}
+	return daemon.Run(ctx)
 }
 
 type checkCommand struct {
--- /dev/null
+++ b/io/lwtdaemon/burn.go
@@ -0,0 +1,95 @@
+package lwtdaemon
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"lacewingtide/core/lwtburn"
+	"lacewingtide/core/lwtstate"
+	"lacewingtide/io/lwtentry"
+)
+
+// observer counts the ends of requests in the burn ledger and in the metrics.
+type observer struct {
+	declared lwtentry.Declared
+	scope    tally.Scope
+	mutex    sync.Mutex
+	ledger   *lwtburn.Ledger
+	metrics  map[metricKey]requestMetrics
+}
+
+type metricKey struct {
+	class   lwtstate.Class
+	outcome lwtburn.Outcome
+}
+
+type requestMetrics struct {
+	requests   tally.Counter
+	firstToken tally.Histogram
+	whole      tally.Histogram
+}
+
+func newObserver(daemon string, declared lwtentry.Declared, scope tally.Scope) *observer {
+	return &observer{
+		declared: declared,
+		scope:    scope,
+		ledger:   lwtburn.New(daemon),
+		metrics:  map[metricKey]requestMetrics{},
+	}
+}
+
+// Observe implements lwtentry.Observer.
+func (observer *observer) Observe(now time.Time, result lwtentry.Result) {
+	state, _ := observer.declared.State()
+	outcome := lwtburn.Judge(state.Objectives[result.Class], lwtburn.Answer{
+		FirstToken: result.FirstToken,
+		Whole:      result.Whole,
+		Ended:      result.Outcome == lwtentry.OutcomeDone,
+		NotRun:     result.Outcome == lwtentry.OutcomeNotRun,
+	})
+	observer.mutex.Lock()
+	defer observer.mutex.Unlock()
+	observer.ledger.Add(now, lwtburn.Event{
+		Key:     lwtburn.Key{Class: result.Class, Caller: result.Caller},
+		Outcome: outcome,
+		Engine:  result.Engine,
+		Number:  state.Number,
+	})
+	metrics := observer.metric(metricKey{result.Class, outcome})
+	metrics.requests.Inc(1)
+	metrics.whole.RecordDuration(result.Whole)
+	if result.FirstToken > 0 {
+		metrics.firstToken.RecordDuration(result.FirstToken)
+	}
+}
+
+// Bounds of the latency histograms: 1 ms to about 2 minutes, doubling.
+const (
+	bucketStart   = time.Millisecond
+	bucketFactor  = 2
+	bucketsNumber = 18
+)
+
+func (observer *observer) metric(key metricKey) requestMetrics {
+	if metrics, found := observer.metrics[key]; found {
+		return metrics
+	}
+	scope := observer.scope.Tagged(map[string]string{"class": string(key.class), "outcome": string(key.outcome)})
+	buckets := tally.MustMakeExponentialDurationBuckets(bucketStart, bucketFactor, bucketsNumber)
+	metrics := requestMetrics{
+		requests:   scope.Counter("requests"),
+		firstToken: scope.Histogram("first_token", buckets),
+		whole:      scope.Histogram("whole_answer", buckets),
+	}
+	observer.metrics[key] = metrics
+	return metrics
+}
+
+// Snapshot returns the counts of the daemon.
+func (observer *observer) Snapshot(now time.Time) lwtburn.Snapshot {
+	observer.mutex.Lock()
+	defer observer.mutex.Unlock()
+	return observer.ledger.Snapshot(now)
+}
--- a/io/lwtdaemon/daemon.go
+++ b/io/lwtdaemon/daemon.go
@@ -14,6 +14,7 @@
 	"lacewingtide/io/lwtengine"
 	"lacewingtide/io/lwtentry"
 	"lacewingtide/io/lwtlog"
+	"lacewingtide/io/lwtmetric"
 	"lacewingtide/io/lwtplatform"
 	"lacewingtide/io/lwtsetting"
 )
@@ -51,25 +52,34 @@
 	entry     *lwtentry.Server
 	platform  *lwtplatform.Client
 	engines   *lwtengine.Client
+	metrics   *lwtmetric.Metrics
+	observer  *observer
 }
 
 // New returns a daemon that serves on open listeners.
-func New(settings lwtsetting.Settings, listeners Listeners, logger log.Logger) *Daemon {
+func New(settings lwtsetting.Settings, listeners Listeners, logger log.Logger) (*Daemon, error) {
+	var metrics *lwtmetric.Metrics
+	var err error
+	if metrics, err = lwtmetric.New(settings.Name); err != nil {
+		return nil, err
+	}
 	daemon := &Daemon{
 		settings:  settings,
 		logger:    log.With(logger, "daemon", settings.Name),
 		listeners: listeners,
 		platform:  lwtplatform.New(settings.Platform.Address, settings.Platform.Timeout.Std()),
 		engines:   lwtengine.New(),
+		metrics:   metrics,
 	}
 	daemon.declared = newDeclared(daemon.platform, daemon.logger)
 	daemon.router = newRouter(daemon.declared)
+	daemon.observer = newObserver(settings.Name, daemon.declared, metrics.Scope())
 	daemon.entry = lwtentry.New(lwtentry.Dependencies{
 		Declared:         daemon.declared,
 		Router:           daemon.router,
 		Limiter:          openLimiter{},
 		Addresses:        ownAddress{settings.EntryAddress},
-		Observer:         discardObserver{},
+		Observer:         daemon.observer,
 		Services:         newForwarder(daemon.logger),
 		Engines:          daemon.engines,
 		Logger:           daemon.logger,
@@ -77,7 +87,7 @@
 		Name:             settings.Name,
 		AvailabilityZone: settings.AvailabilityZone,
 	})
-	return daemon
+	return daemon, nil
 }
 
 // Run serves until ctx ends, then shuts down gracefully.
--- a/io/lwtdaemon/path_test.go
+++ b/io/lwtdaemon/path_test.go
@@ -57,7 +57,11 @@
 	settings.EntryAddress = listeners.Entry.Addr().String()
 	settings.PeerKey = "0123456789abcdef"
 	settings.Platform.Address = platformListener.Addr().String()
-	go func() { _ = lwtdaemon.New(settings, listeners, log.NewNopLogger()).Run(ctx) }()
+	daemon, err := lwtdaemon.New(settings, listeners, log.NewNopLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = daemon.Run(ctx) }()
 	return fleet{entry: "http://" + settings.EntryAddress, platform: platform, engine: engine}
 }
 
--- a/io/lwtdaemon/thin.go
+++ b/io/lwtdaemon/thin.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"lacewingtide/core/lwtstate"
-	"lacewingtide/io/lwtentry"
 )
 
 const addressKeep = 10 * time.Second
@@ -22,9 +21,3 @@
 func (own ownAddress) Answer(time.Time, string) ([]string, time.Duration) {
 	return []string{own.address}, addressKeep
 }
-
-// discardObserver keeps nothing.
-type discardObserver struct{}
-
-// Observe implements lwtentry.Observer.
-func (discardObserver) Observe(time.Time, lwtentry.Result) {}
--- /dev/null
+++ b/io/lwtreport/html.go
@@ -0,0 +1,112 @@
+package lwtreport
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"io"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"lacewingtide/core/lwtburn"
+)
+
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 8 * vg.Centimeter
+	plotLines  = 7
+)
+
+var page = template.Must(template.New("report").Funcs(template.FuncMap{
+	"alerts": alertNames,
+	"span":   spanName,
+	"engine": engineName,
+}).Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>Service-level burn</title>
+<style>
+body { font-family: sans-serif; margin: 2em; max-width: 70em }
+table { border-collapse: collapse; margin: 1em 0 }
+td, th { border: 1px solid #999; padding: .2em .6em; text-align: right }
+td:first-child, th:first-child { text-align: left }
+.alert { background: #fdd }
+</style></head><body>
+<h1>Service-level burn</h1>
+<p>Daemons: {{range .Report.Daemons}}{{.}} {{end}}</p>
+{{.Plot}}
+<table><tr><th>class</th><th>caller</th><th>target</th>
+{{if .Report.Lines}}{{range (index .Report.Lines 0).Windows}}<th>burn {{span .}}</th>{{end}}{{end}}<th>alerts</th></tr>
+{{range .Report.Lines}}<tr{{if .Alerts}} class="alert"{{end}}><td>{{.Key.Class}}</td><td>{{.Key.Caller}}</td><td>{{.Target}}</td>
+{{range .Windows}}<td>{{printf "%.2f" .Burn}}</td>{{end}}<td>{{alerts .}}</td></tr>
+{{end}}</table>
+<h2>What spent the budget in the last 24 hours</h2>
+<table><tr><th>engine</th><th>state</th><th>daemon</th><th>late</th><th>cut</th><th>rejected</th><th>unknown</th></tr>
+{{range .Report.Causes}}<tr><td>{{engine .}}</td><td>{{.Number}}</td><td>{{.Daemon}}</td><td>{{.Counts.Late}}</td><td>{{.Counts.Cut}}</td><td>{{.Counts.Rejected}}</td><td>{{.Counts.Unknown}}</td></tr>
+{{end}}</table>
+</body></html>
+`))
+
+// WriteHTML writes a report as one HTML page with its plot inside.
+func WriteHTML(w io.Writer, report lwtburn.Report) error {
+	var picture template.HTML
+	var err error
+	if picture, err = drawBurn(report); err != nil {
+		return err
+	}
+	data := struct {
+		Report lwtburn.Report
+		Plot   template.HTML
+	}{report, picture}
+	if err := page.Execute(w, data); err != nil {
+		return fmt.Errorf("write report page: %w", err)
+	}
+	return nil
+}
+
+// drawBurn plots burn over window length for the keys that burn most.
+func drawBurn(report lwtburn.Report) (template.HTML, error) {
+	burn := plot.New()
+	burn.Title.Text = "Burn rate by window"
+	burn.X.Label.Text = "window in hours"
+	burn.X.Scale = plot.LogScale{}
+	burn.X.Tick.Marker = plot.LogTicks{Prec: -1}
+	burn.Y.Label.Text = "burn rate"
+	burn.Y.Min = 0
+	burn.Legend.Top = true
+	var lines []any
+	for _, line := range worst(report.Lines) {
+		lines = append(lines, string(line.Key.Class)+" "+line.Key.Caller, points(line))
+	}
+	if len(lines) == 0 {
+		return "", nil
+	}
+	if err := plotutil.AddLinePoints(burn, lines...); err != nil {
+		return "", fmt.Errorf("plot burn: %w", err)
+	}
+	return svg(burn)
+}
+
+func points(line lwtburn.Line) plotter.XYs {
+	xys := make(plotter.XYs, 0, len(line.Windows))
+	for _, window := range line.Windows {
+		xys = append(xys, plotter.XY{X: window.Span.Std().Hours(), Y: window.Burn})
+	}
+	return xys
+}
+
+func svg(burn *plot.Plot) (template.HTML, error) {
+	var writer io.WriterTo
+	var err error
+	if writer, err = burn.WriterTo(plotWidth, plotHeight, "svg"); err != nil {
+		return "", fmt.Errorf("draw burn: %w", err)
+	}
+	var picture bytes.Buffer
+	if _, err := writer.WriteTo(&picture); err != nil {
+		return "", fmt.Errorf("draw burn: %w", err)
+	}
+	// The plot library escapes the text it draws.
+	start := max(0, bytes.Index(picture.Bytes(), []byte("<svg")))
+	return template.HTML(picture.Bytes()[start:]), nil
+}
--- /dev/null
+++ b/io/lwtreport/report_test.go
@@ -0,0 +1,49 @@
+package lwtreport_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"lacewingtide/core/lwtburn"
+	"lacewingtide/core/lwtstate"
+	"lacewingtide/io/lwtreport"
+)
+
+func burningReport() lwtburn.Report {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	ledger := lwtburn.New("d1")
+	for range 10 {
+		ledger.Add(now, lwtburn.Event{
+			Key:     lwtburn.Key{Class: lwtstate.ClassChat, Caller: "<shop>"},
+			Outcome: lwtburn.OutcomeLate, Engine: "e1", Number: 7,
+		})
+	}
+	objective := lwtstate.Objective{Class: lwtstate.ClassChat, Target: 0.95}
+	return lwtburn.NewReport(ledger.Snapshot(now), map[lwtstate.Class]lwtstate.Objective{lwtstate.ClassChat: objective})
+}
+
+// TestTextNamesAlertAndCause guards against a report that hides why budget is spent.
+func TestTextNamesAlertAndCause(t *testing.T) {
+	var text bytes.Buffer
+	if err := lwtreport.WriteText(&text, burningReport()); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"burn 72h", "20.00", "page(burn>=14.4 over 1h)", "e1"} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("no %q in:\n%s", want, &text)
+		}
+	}
+}
+
+// TestPageEscapesCallers guards against a caller's name that runs as markup.
+func TestPageEscapesCallers(t *testing.T) {
+	var html bytes.Buffer
+	if err := lwtreport.WriteHTML(&html, burningReport()); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(html.String(), "<svg") || strings.Contains(html.String(), "<shop>") {
+		t.Errorf("no plot, or an unescaped caller, in:\n%s", &html)
+	}
+}
