--- a/io/lwtdaemon/path_test.go
+++ b/io/lwtdaemon/path_test.go
@@ -10,15 +10,9 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
-
-	"github.com/go-kit/log"
 
 	"lacewingtide/core/lwtstate"
-	"lacewingtide/io/lwtdaemon"
 	"lacewingtide/io/lwtentry"
-	"lacewingtide/io/lwtplatform"
-	"lacewingtide/io/lwtsetting"
 	"lacewingtide/io/lwtstandin"
 )
 
@@ -26,18 +20,16 @@
 
 // fleet is one daemon before one engine on loopback.
 type fleet struct {
-	entry    string
-	platform *lwtstandin.Platform
-	engine   *lwtstandin.Engine
+	entry string
 }
 
-func listen(t *testing.T) net.Listener {
-	t.Helper()
+func listen(tb testing.TB) net.Listener {
+	tb.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
-	t.Cleanup(func() { _ = listener.Close() })
+	tb.Cleanup(func() { _ = listener.Close() })
 	return listener
 }
 
@@ -45,65 +37,37 @@
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
-	platform, platformListener := lwtstandin.NewPlatform(), listen(t)
-	go func() { _ = platform.Serve(platformListener) }()
 	engine, engineListener := lwtstandin.NewEngine(lwtstandin.DefaultEngineOptions("e1", "m"), 1), listen(t)
 	go func() { _ = engine.Serve(engineListener) }()
 	go func() { _ = engine.Run(ctx) }()
-	declare(t, platform, engineListener.Addr().String())
-	listeners := lwtdaemon.Listeners{Entry: listen(t), Peer: listen(t), Operator: listen(t)}
-	settings := lwtsetting.Default()
-	settings.Name, settings.AvailabilityZone = "d1", "z1"
-	settings.EntryAddress = listeners.Entry.Addr().String()
-	settings.PeerKey = "0123456789abcdef"
-	settings.Platform.Address = platformListener.Addr().String()
-	daemon, err := lwtdaemon.New(settings, listeners, log.NewNopLogger())
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = daemon.Run(ctx) }()
-	return fleet{entry: "http://" + settings.EntryAddress, platform: platform, engine: engine}
-}
-
-func declare(t *testing.T, platform *lwtstandin.Platform, engine string) {
-	t.Helper()
-	state := lwtstate.New().WithChange(lwtstate.Change{
-		Number:  1,
-		Engines: []lwtstate.Engine{{Name: "e1", Address: engine, Role: lwtstate.RoleMixed, Models: []string{"m"}}},
+	entry := startDaemon(ctx, t, lwtstate.Change{
+		Number: 1,
+		Engines: []lwtstate.Engine{{
+			Name: "e1", Address: engineListener.Addr().String(), Role: lwtstate.RoleMixed, Models: []string{"m"},
+		}},
 		Models:  []lwtstate.Model{{Name: "m", Version: "1"}},
 		Callers: []lwtstate.Caller{{Name: "c1", KeyHash: lwtentry.KeyHash(callerKey), Models: []string{"m"}}},
 	})
-	value, err := json.Marshal(state)
-	if err != nil {
-		t.Fatal(err)
-	}
-	platform.Table().Commit(lwtplatform.Transaction{Puts: []lwtplatform.Put{{Key: "config/head", Value: value}}})
+	return fleet{entry: "http://" + entry}
 }
 
 func (fleet fleet) post(t *testing.T, body string, headers ...string) *http.Response {
 	t.Helper()
-	for range 100 {
-		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost,
-			fleet.entry+"/v1/chat/completions", strings.NewReader(body))
-		if err != nil {
-			t.Fatal(err)
-		}
-		request.Header.Set("Authorization", "Bearer "+callerKey)
-		for i := 0; i < len(headers); i += 2 {
-			request.Header.Set(headers[i], headers[i+1])
-		}
-		response, err := http.DefaultClient.Do(request)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = response.Body.Close() })
-		if response.StatusCode != http.StatusServiceUnavailable {
-			return response
-		}
-		time.Sleep(50 * time.Millisecond)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost,
+		fleet.entry+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+callerKey)
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("the daemon never became ready")
-	return nil
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return response
 }
 
 // TestUnstreamedAnswerIsWhole guards against an answer that lacks tokens.
--- /dev/null
+++ b/io/lwtdaemon/relay_bench_test.go
@@ -0,0 +1,212 @@
+package lwtdaemon_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-kit/log"
+
+	"lacewingtide/core/lwtstate"
+	"lacewingtide/io/lwtdaemon"
+	"lacewingtide/io/lwtentry"
+	"lacewingtide/io/lwtplatform"
+	"lacewingtide/io/lwtsetting"
+	"lacewingtide/io/lwtstandin"
+)
+
+const (
+	relayStreams = 1000
+	relayTokens  = 200
+	relayEngines = 4
+)
+
+// relayFleet is one daemon before some engines that stamp their events.
+type relayFleet struct {
+	entry   string
+	engines []string
+	client  *http.Client
+}
+
+func newRelayFleet(b *testing.B, step time.Duration) *relayFleet {
+	b.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	b.Cleanup(stop)
+	fleet := &relayFleet{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: relayStreams}}}
+	change := lwtstate.Change{
+		Number:  1,
+		Models:  []lwtstate.Model{{Name: "m", Version: "1"}},
+		Callers: []lwtstate.Caller{{Name: "c1", KeyHash: lwtentry.KeyHash(callerKey), Models: []string{"m"}}},
+	}
+	for i := range relayEngines {
+		options := lwtstandin.DefaultEngineOptions(fmt.Sprintf("e%d", i), "m")
+		options.Stamp, options.StepTime, options.MaxRunning, options.PrefillRate = true, step, relayStreams, 1e9
+		engine, listener := lwtstandin.NewEngine(options, 1), listen(b)
+		go func() { _ = engine.Serve(listener) }()
+		go func() { _ = engine.Run(ctx) }()
+		fleet.engines = append(fleet.engines, listener.Addr().String())
+		change.Engines = append(change.Engines, lwtstate.Engine{
+			Name: options.Name, Address: listener.Addr().String(), Role: lwtstate.RoleMixed, Models: []string{"m"},
+		})
+	}
+	fleet.entry = startDaemon(ctx, b, change)
+	return fleet
+}
+
+func startDaemon(ctx context.Context, tb testing.TB, change lwtstate.Change) string {
+	tb.Helper()
+	platform, platformListener := lwtstandin.NewPlatform(), listen(tb)
+	go func() { _ = platform.Serve(platformListener) }()
+	value, err := json.Marshal(lwtstate.New().WithChange(change))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	platform.Table().Commit(lwtplatform.Transaction{Puts: []lwtplatform.Put{{Key: "config/head", Value: value}}})
+	listeners := lwtdaemon.Listeners{Entry: listen(tb), Peer: listen(tb), Operator: listen(tb)}
+	settings := lwtsetting.Default()
+	settings.Name, settings.AvailabilityZone = "d1", "z1"
+	settings.EntryAddress = listeners.Entry.Addr().String()
+	settings.PeerKey = "0123456789abcdef"
+	settings.Platform.Address = platformListener.Addr().String()
+	daemon, err := lwtdaemon.New(settings, listeners, log.NewNopLogger())
+	if err != nil {
+		tb.Fatal(err)
+	}
+	go func() { _ = daemon.Run(ctx) }()
+	for range 200 {
+		if _, known := daemon.State(); known {
+			return settings.EntryAddress
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	tb.Fatal("the daemon never became ready")
+	return ""
+}
+
+// delays are the times from an event's writing at the engine to its arrival.
+type delays struct {
+	mutex  sync.Mutex
+	first  *hdrhistogram.Histogram
+	other  *hdrhistogram.Histogram
+	tokens int
+	took   time.Duration
+	cpu    time.Duration
+}
+
+func newDelays() *delays {
+	const most, digits = int64(time.Minute), 3
+	return &delays{first: hdrhistogram.New(1, most, digits), other: hdrhistogram.New(1, most, digits)}
+}
+
+// run reads relayStreams streams at once, from the daemon or from the engines.
+func (fleet *relayFleet) run(b *testing.B, relayed bool) *delays {
+	b.Helper()
+	delays := newDelays()
+	var group sync.WaitGroup
+	began, usage := time.Now(), processTime(b)
+	for i := range relayStreams {
+		address := fleet.engines[i%len(fleet.engines)]
+		if relayed {
+			address = fleet.entry
+		}
+		group.Go(func() { fleet.read(b, address, strconv.Itoa(i)+strconv.FormatInt(began.UnixNano(), 36), delays) })
+	}
+	group.Wait()
+	delays.took, delays.cpu = time.Since(began), processTime(b)-usage
+	return delays
+}
+
+func (fleet *relayFleet) read(b *testing.B, address, id string, delays *delays) {
+	body := fmt.Sprintf(`{"model":"m","messages":[{"role":"user","content":%q}],"max_tokens":%d,"stream":true}`, id, relayTokens)
+	request, err := http.NewRequestWithContext(b.Context(), http.MethodPost,
+		"http://"+address+"/v1/chat/completions", bytes.NewReader([]byte(body)))
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	request.Header.Set("Authorization", "Bearer "+callerKey)
+	request.Header.Set("Engine-Request", id)
+	response, err := fleet.client.Do(request)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	scanner, events := bufio.NewScanner(response.Body), 0
+	for scanner.Scan() {
+		if written, found := stamp(scanner.Bytes()); found {
+			delays.record(events == 0, time.Now().UnixNano()-written)
+			events++
+		}
+	}
+	if events != relayTokens {
+		b.Errorf("stream %s had %d tokens, want %d", id, events, relayTokens)
+	}
+}
+
+func (delays *delays) record(first bool, delay int64) {
+	delays.mutex.Lock()
+	defer delays.mutex.Unlock()
+	histogram := delays.other
+	if first {
+		histogram = delays.first
+	}
+	delays.tokens++
+	// Clock steps can make a delay negative; it counts as the least value.
+	_ = histogram.RecordValue(max(1, delay))
+}
+
+func stamp(line []byte) (int64, bool) {
+	_, rest, found := bytes.Cut(line, []byte(`{"written":`))
+	if !found {
+		return 0, false
+	}
+	digits, _, _ := bytes.Cut(rest, []byte(","))
+	written, err := strconv.ParseInt(string(digits), 10, 64)
+	return written, err == nil
+}
+
+func processTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkRelayDelay compares 1,000 streams at 50 tokens/s each read straight
+// from the engines with the same streams read through one daemon.
+func BenchmarkRelayDelay(b *testing.B) {
+	fleet := newRelayFleet(b, 20*time.Millisecond)
+	for b.Loop() {
+		direct, relayed := fleet.run(b, false), fleet.run(b, true)
+		for _, quantile := range []float64{50, 99} {
+			added := relayed.first.ValueAtQuantile(quantile) - direct.first.ValueAtQuantile(quantile)
+			b.ReportMetric(float64(added)/1e3, fmt.Sprintf("added-first-p%g-us", quantile))
+			added = relayed.other.ValueAtQuantile(quantile) - direct.other.ValueAtQuantile(quantile)
+			b.ReportMetric(float64(added)/1e3, fmt.Sprintf("added-between-p%g-us", quantile))
+		}
+	}
+}
+
+// BenchmarkRelayThroughput reads 1,000 streams through one daemon as fast as
+// the engines, the daemon and the client in this process can go.
+func BenchmarkRelayThroughput(b *testing.B) {
+	fleet := newRelayFleet(b, time.Microsecond)
+	for b.Loop() {
+		direct, relayed := fleet.run(b, false), fleet.run(b, true)
+		b.ReportMetric(float64(relayed.tokens)/relayed.took.Seconds(), "tokens/s")
+		cost := relayed.cpu.Seconds()/float64(relayed.tokens) - direct.cpu.Seconds()/float64(direct.tokens)
+		b.ReportMetric(1/cost, "tokens/s/core")
+	}
+}
--- a/io/lwtstandin/engine.go
+++ b/io/lwtstandin/engine.go
@@ -34,6 +34,9 @@
 	OrderReadTimeout time.Duration
 	// ChangeTime is the time that a change of role or models takes.
 	ChangeTime time.Duration
+	// Stamp adds the time of writing to each event, for measurements: the
+	// field "written" in nanoseconds since the Unix epoch.
+	Stamp bool
 }
 
 // DefaultEngineOptions returns the options of a mid-size engine.
@@ -114,18 +117,22 @@
 		time.Duration(float64(prefilled)/engine.options.PrefillRate*float64(time.Second))
 }
 
+// prefill works on the waiting prompts, highest priority first, until the
+// chunk of one step is used up.
 func (engine *Engine) prefill() int {
-	if len(engine.waiting) == 0 || len(engine.running) >= engine.options.MaxRunning {
-		return 0
-	}
-	next := slices.MaxFunc(engine.waiting, func(a, b *engineStream) int { return a.priority - b.priority })
-	chunk := min(next.promptLeft, engine.options.PrefillChunk)
-	next.promptLeft -= chunk
-	if next.promptLeft == 0 {
-		engine.waiting = slices.DeleteFunc(engine.waiting, func(s *engineStream) bool { return s == next })
-		engine.running = append(engine.running, next)
+	used := 0
+	for used < engine.options.PrefillChunk && len(engine.waiting) > 0 &&
+		len(engine.running) < engine.options.MaxRunning {
+		next := slices.MaxFunc(engine.waiting, func(a, b *engineStream) int { return a.priority - b.priority })
+		chunk := min(next.promptLeft, engine.options.PrefillChunk-used)
+		used += chunk
+		next.promptLeft -= chunk
+		if next.promptLeft == 0 {
+			engine.waiting = slices.DeleteFunc(engine.waiting, func(s *engineStream) bool { return s == next })
+			engine.running = append(engine.running, next)
+		}
 	}
-	return chunk
+	return used
 }
 
 func (engine *Engine) decode(now time.Time) {
@@ -162,6 +169,7 @@
 		return nil, fmt.Errorf("engine %s does not serve model %q now", engine.options.Name, request.Model)
 	}
 	stream := newEngineStream(id, request, priority)
+	stream.stamp = engine.options.Stamp
 	engine.streams[id] = stream
 	engine.waiting = append(engine.waiting, stream)
 	engine.started++
--- a/io/lwtstandin/engine_http.go
+++ b/io/lwtstandin/engine_http.go
@@ -139,11 +139,15 @@
 }
 
 func writeToken(w *bufio.Writer, stream *engineStream, offset int) {
+	stamp := ""
+	if stream.stamp {
+		stamp = fmt.Sprintf("\"written\":%d,", time.Now().UnixNano())
+	}
 	// A write error shows at the next flush.
-	_, _ = fmt.Fprintf(w, "id: %s/%d\ndata: {\"id\":\"chatcmpl-%s\",\"object\":\"chat.completion.chunk\","+
+	_, _ = fmt.Fprintf(w, "id: %s/%d\ndata: {%s\"id\":\"chatcmpl-%s\",\"object\":\"chat.completion.chunk\","+
 		"\"created\":0,\"model\":%q,\"choices\":[{\"index\":0,\"delta\":{\"role\":\"assistant\",\"content\":%q},"+
 		"\"finish_reason\":null}]}\n\n",
-		stream.id, offset, stream.id, stream.model, Token(stream.prompt, offset))
+		stream.id, offset, stamp, stream.id, stream.model, Token(stream.prompt, offset))
 }
 
 func writeEnd(w *bufio.Writer, stream *engineStream, offset int) {
--- a/io/lwtstandin/engine_stream.go
+++ b/io/lwtstandin/engine_stream.go
@@ -57,6 +57,7 @@
 	promptLeft   int
 	total        int
 	priority     int
+	stamp        bool
 	mutex        sync.Mutex
 	made         int
 	cancelled    bool
