Sign event ids without allocation, and refuse ids with unused bits set

Cause: each relayed event allocated 32 bytes for its digest, and the last character of an id could be changed without harm. Change: the signer reuses its digest; ids are decoded strictly.

--- a/core/lwtstream/id.go
+++ b/core/lwtstream/id.go
@@ -37,8 +37,12 @@
 	mac    hash.Hash
 	prefix []byte
 	buffer []byte
+	digest []byte
 }
 
+// encoding refuses texts with unused bits set, so that a position has one id.
+var encoding = base64.RawURLEncoding.Strict()
+
 // NewSigner returns a signer for a caller under a key that all daemons share.
 func NewSigner(key []byte, caller string) *Signer {
 	mac := hmac.New(sha256.New, key)
@@ -49,7 +53,7 @@
 func (signer *Signer) AppendID(dst []byte, position Position) []byte {
 	signer.buffer = appendPosition(signer.buffer[:0], position)
 	signer.buffer = append(signer.buffer, signer.sum(signer.buffer)...)
-	return base64.RawURLEncoding.AppendEncode(dst, signer.buffer)
+	return encoding.AppendEncode(dst, signer.buffer)
 }
 
 // Open returns the position of an id. It returns ErrID unless the id was
@@ -58,7 +62,7 @@
 	if len(id) > maxIDBytes {
 		return Position{}, ErrID
 	}
-	raw, err := base64.RawURLEncoding.DecodeString(id)
+	raw, err := encoding.DecodeString(id)
 	if err != nil || len(raw) <= macSize {
 		return Position{}, ErrID
 	}
@@ -73,7 +77,8 @@
 	signer.mac.Reset()
 	signer.mac.Write(signer.prefix)
 	signer.mac.Write(body)
-	return signer.mac.Sum(nil)[:macSize]
+	signer.digest = signer.mac.Sum(signer.digest[:0])
+	return signer.digest[:macSize]
 }
 
 func appendPosition(dst []byte, position Position) []byte {
