Decide which daemons are alive and which addresses callers use

Cause: a daemon knew nobody but itself and named only its own address. Conclusion: the state machine is ready to be connected to sockets.

--- /dev/null
+++ b/core/lwtfleet/script_test.go
@@ -0,0 +1,74 @@
+package lwtfleet_test
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"lacewingtide/core/lwtfleet"
+	"lacewingtide/core/lwtmember"
+)
+
+// frameBytes are the bytes of a WebSocket frame and an envelope around a body.
+const frameBytes = 40
+
+func wireSize(_ lwtmember.Kind, gossip lwtmember.Gossip) int {
+	body, err := cbor.Marshal(gossip)
+	if err != nil {
+		panic(err)
+	}
+	return len(body) + frameBytes
+}
+
+func options(members, zones int, seed uint64) lwtfleet.Options {
+	return lwtfleet.Options{
+		Members: members, Zones: zones, Seed: seed, Latency: time.Millisecond,
+		Size: wireSize, Member: lwtmember.DefaultOptions(),
+	}
+}
+
+// TestScripts runs each failure of testdata; the head of a file says what it
+// guards against. Three seeds vary the order of events.
+func TestScripts(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.txtar")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no scripts: %v", err)
+	}
+	for _, path := range paths {
+		archive, err := txtar.ParseFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s/%d", strings.TrimSuffix(filepath.Base(path), ".txtar"), seed), func(t *testing.T) {
+				t.Parallel()
+				runScript(t, archive, seed)
+			})
+		}
+	}
+}
+
+func runScript(t *testing.T, archive *txtar.Archive, seed uint64) {
+	t.Helper()
+	settings := options(0, 0, seed)
+	var script string
+	for _, file := range archive.Files {
+		switch file.Name {
+		case "options":
+			if _, err := fmt.Sscanf(string(file.Data), "members %d zones %d loss %g",
+				&settings.Members, &settings.Zones, &settings.Loss); err != nil && settings.Zones == 0 {
+				t.Fatal(err)
+			}
+		case "script":
+			script = string(file.Data)
+		}
+	}
+	if err := lwtfleet.NewScript(lwtfleet.New(settings)).Run(script); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/core/lwtmember/receive.go
@@ -0,0 +1,182 @@
+package lwtmember
+
+import (
+	"slices"
+	"time"
+)
+
+// quietTime is the time without a change after which differing tables mean
+// that news was lost rather than under way.
+const quietTime = 3 * time.Second
+
+// joinPageMembers is the number of records in each message to a joining
+// member.
+const joinPageMembers = 24
+
+func (step *step) receive(msg Received) {
+	gossip := msg.Gossip
+	if gossip.Number > step.number {
+		step.number = gossip.Number
+		step.emit(NumberKnown{Number: gossip.Number, From: msg.From})
+	}
+	for _, member := range gossip.Members {
+		step.learn(member)
+	}
+	for _, digest := range gossip.Digests {
+		step.learnDigest(digest)
+	}
+	if gossip.Unknown {
+		step.queue = step.queue.with(step.self)
+		step.send(msg.From, KindDigest, Gossip{})
+	}
+	step.answer(msg)
+	step.synchronise(msg)
+}
+
+func (step *step) answer(msg Received) {
+	switch msg.Kind {
+	case KindPing:
+		_, known := step.table.get(msg.From)
+		step.send(msg.From, KindAck, Gossip{Sequence: msg.Gossip.Sequence, Unknown: !known})
+		if msg.Gossip.Join {
+			step.sendWholeTable(msg.From)
+		}
+	case KindPingReq:
+		step.relayProbe(msg)
+	case KindAck:
+		step.acknowledge(msg)
+	case KindDigest, KindLeave:
+	}
+	if msg.Gossip.Want {
+		members, next := step.table.page(msg.Gossip.WantAfter, step.options.MaxMembers)
+		step.emit(Send{To: msg.From, Kind: KindDigest, Gossip: Gossip{Members: members, Page: true, Next: next}})
+	}
+	if msg.Gossip.Page {
+		step.syncCursor = msg.Gossip.Next
+	}
+}
+
+func (step *step) relayProbe(msg Received) {
+	if len(step.relays) >= maxRelays || msg.Gossip.Target == step.self.Address {
+		return
+	}
+	step.sequence++
+	step.relays = append(slices.Clone(step.relays), relay{
+		requester: msg.From,
+		theirs:    msg.Gossip.Sequence,
+		ours:      step.sequence,
+		until:     step.now.Add(step.options.ProbeInterval),
+	})
+	step.send(msg.Gossip.Target, KindPing, Gossip{Sequence: step.sequence})
+}
+
+func (step *step) acknowledge(msg Received) {
+	if msg.Gossip.Sequence == 0 {
+		return
+	}
+	if step.probe.target != "" && msg.Gossip.Sequence == step.probe.sequence {
+		step.lastAck = step.now
+		step.probe = probe{}
+		return
+	}
+	for _, relay := range step.relays {
+		if relay.ours == msg.Gossip.Sequence {
+			step.send(relay.requester, KindAck, Gossip{Sequence: relay.theirs})
+		}
+	}
+}
+
+// learn takes a record that another member passed on.
+func (step *step) learn(member Member) {
+	if member.Address == step.self.Address {
+		step.learnSelf(member)
+		return
+	}
+	held, found := step.table.get(member.Address)
+	if found && !member.Supersedes(held.Member) {
+		return
+	}
+	if !found && !member.Live() {
+		// A dead member that was never known is only kept off the table.
+		return
+	}
+	step.store(member)
+	step.queue = step.queue.with(member)
+}
+
+// learnSelf takes a record of the daemon's own address.
+func (step *step) learnSelf(member Member) {
+	switch {
+	case member.Boot > step.self.Boot && step.now.Sub(step.started) < joinTime:
+		step.self.Boot = member.Boot + 1
+		step.queue = step.queue.with(step.self)
+		step.changed = step.now
+	case member.Boot > step.self.Boot && !step.replaced:
+		step.replaced = true
+		step.emit(Replaced{By: member})
+	case member.Boot == step.self.Boot && member.Supersedes(step.self):
+		step.refute(member)
+		step.announce()
+	}
+}
+
+func (step *step) learnDigest(digest Digest) {
+	record, found := step.table.get(digest.Address)
+	if found && record.Live() && record.Boot == digest.Boot && digest.valid() {
+		step.digests = step.digests.with(digest)
+	}
+}
+
+// send sends a message with as much news as fits. A member that is thought
+// not to be plainly alive is told so, so that it can refute it.
+func (step *step) send(to string, kind Kind, gossip Gossip) {
+	gossip.Number, gossip.Sum = step.number, step.Sum()
+	gossip.Members, step.queue = step.queue.take(step.options.MaxMembers, step.Live())
+	record, known := step.table.get(to)
+	if known && record.Status != Alive && !holds(gossip.Members, to) {
+		gossip.Members = append(gossip.Members, record.Member)
+	}
+	if (!known || !record.Live()) && !holds(gossip.Members, step.self.Address) {
+		gossip.Members = append(gossip.Members, step.self)
+	}
+	if known && len(step.digests) > 0 {
+		gossip.Digests, step.digests = step.digests.take(step.options.MaxDigestBytes, step.intN(len(step.digests)))
+	}
+	step.emit(Send{To: to, Kind: kind, Gossip: gossip})
+}
+
+func holds(members []Member, address string) bool {
+	return slices.ContainsFunc(members, func(member Member) bool { return member.Address == address })
+}
+
+func (step *step) sendWholeTable(to string) {
+	for cursor, more := "", true; more; more = cursor != "" {
+		var members []Member
+		members, cursor = step.table.page(cursor, joinPageMembers)
+		step.emit(Send{To: to, Kind: KindDigest, Gossip: Gossip{Members: members, Number: step.number}})
+	}
+}
+
+// synchronise asks for a page of a table that differs from the daemon's own
+// though nothing has changed for a while.
+func (step *step) synchronise(msg Received) {
+	if msg.Gossip.Sum == 0 || msg.Gossip.Sum == step.Sum() || step.now.Before(step.nextSync) ||
+		step.now.Sub(step.changed) < quietTime {
+		return
+	}
+	step.nextSync = step.jittered(step.options.SyncInterval)
+	step.send(msg.From, KindDigest, Gossip{Want: true, WantAfter: step.syncCursor})
+}
+
+// gossip passes news on to random members between probes.
+func (step *step) gossip() {
+	if len(step.queue) == 0 || step.now.Before(step.nextGossip) {
+		return
+	}
+	step.nextGossip = step.jittered(step.options.GossipInterval)
+	for range step.options.GossipFanout {
+		if address, found := step.randomLive(""); found && len(step.queue) > 0 {
+			step.send(address, KindDigest, Gossip{})
+		}
+	}
+}
