--- /dev/null
+++ b/io/lwtpeer/fuzz_test.go
@@ -0,0 +1,44 @@
+package lwtpeer_test
+
+import (
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"lacewingtide/core/lwtmember"
+	"lacewingtide/io/lwtpeer"
+)
+
+// FuzzDecodeEnvelope guards against bytes of a peer that crash the decoder or
+// make it take more than it was given.
+func FuzzDecodeEnvelope(f *testing.F) {
+	for _, gossip := range []lwtmember.Gossip{
+		{Sequence: 7, Number: 12, Sum: 1 << 60},
+		{Join: true, Members: []lwtmember.Member{{Address: "10.0.0.1:7001", Name: "d1", Boot: 3}}},
+		{Digests: []lwtmember.Digest{{Address: "10.0.0.1:7001", Version: 2, Values: map[string]int64{"e1": 5}}}},
+	} {
+		body, err := cbor.Marshal(gossip)
+		if err != nil {
+			f.Fatal(err)
+		}
+		raw, err := cbor.Marshal(lwtpeer.Envelope{Version: lwtpeer.Version, Type: "ping", Body: body})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+		f.Add(raw[:len(raw)/2])
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		envelope, err := lwtpeer.DecodeEnvelope(raw)
+		if err != nil {
+			return
+		}
+		if envelope.Type == "" || len(envelope.Body) > len(raw) {
+			t.Errorf("envelope %+v of %d bytes", envelope, len(raw))
+		}
+		var gossip lwtmember.Gossip
+		if lwtpeer.Decode(envelope.Body, &gossip) == nil && len(gossip.Members) > len(raw) {
+			t.Errorf("%d members of %d bytes", len(gossip.Members), len(raw))
+		}
+	})
+}
