Parse and check tickets and decide submissions

Cause: the declared state had no way in; tests wrote it into the table. Change: lwtdocument reports all faults of a TOML document with key path and line; lwtticket checks a ticket against the whole resulting state and holds the pure state machine of a submission.

--- /dev/null
+++ b/core/lwtticket/check_test.go
@@ -0,0 +1,50 @@
+package lwtticket_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"lacewingtide/core/lwtdocument"
+	"lacewingtide/core/lwtstate"
+	"lacewingtide/core/lwtticket"
+)
+
+func baseState(t testing.TB) lwtstate.State {
+	t.Helper()
+	content, err := os.ReadFile("testdata/check/base.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ticket, problems := lwtticket.Parse(content)
+	if problems = append(problems, lwtticket.Check(lwtstate.New(), ticket)...); len(problems) > 0 {
+		t.Fatal(lwtdocument.Join(problems))
+	}
+	return lwtticket.Apply(lwtstate.New(), ticket)
+}
+
+// TestCheckReportsEveryProblem guards against tickets that leave an object
+// dangling, a model without engines or an engine without protection from old
+// orders, and against problems that are reported one at a time.
+func TestCheckReportsEveryProblem(t *testing.T) {
+	state := baseState(t)
+	archive, err := txtar.ParseFile("testdata/check/problems.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i+1 < len(archive.Files); i += 2 {
+		name := strings.TrimSuffix(archive.Files[i].Name, ".toml")
+		t.Run(name, func(t *testing.T) {
+			ticket, _ := lwtticket.Parse(archive.Files[i].Data)
+			var got strings.Builder
+			for _, problem := range lwtticket.Check(state, ticket) {
+				got.WriteString(problem.Error() + "\n")
+			}
+			if want := string(archive.Files[i+1].Data); got.String() != want {
+				t.Errorf("got:\n%swant:\n%s", got.String(), want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/lwtticket/submission.go
@@ -0,0 +1,256 @@
+package lwtticket
+
+import (
+	"fmt"
+	"time"
+
+	"lacewingtide/core/lwtdocument"
+	"lacewingtide/core/lwtstate"
+)
+
+// Outcome is what became of a submission.
+type Outcome string
+
+// The outcomes of a submission.
+const (
+	// Accepted means that the ticket is stored under a number.
+	Accepted Outcome = "accepted"
+	// Refused means that the ticket has no effect and never will.
+	Refused Outcome = "refused"
+	// Unknown means that the store gave no answer; reading the write id tells
+	// what became of the ticket.
+	Unknown Outcome = "unknown"
+)
+
+// Result is the end of a submission.
+type Result struct {
+	Outcome Outcome `json:"outcome"`
+	WriteID string  `json:"write-id"`
+	// Number is the ticket's number when accepted.
+	Number int64 `json:"number,omitempty"`
+	// Conflict is set when another ticket changed an object first.
+	Conflict *Conflict `json:"conflict,omitempty"`
+	// Problems are set when the check refused the ticket.
+	Problems []lwtdocument.Problem `json:"problems,omitempty"`
+	// Reason says in words why the ticket is not accepted.
+	Reason string `json:"reason,omitempty"`
+	// Unavailable says that the ticket was refused only for want of the store.
+	Unavailable bool `json:"unavailable,omitempty"`
+}
+
+// Msg is an event that a submission learns of: Started, HeadRead, WriteRead,
+// StateLoaded, SnapshotStored, Answered, Failed or Waited.
+type Msg any
+
+// Messages to a submission.
+type (
+	// Started begins the submission.
+	Started struct{}
+	// HeadRead is the row HeadKey; version 0 means that it does not exist.
+	HeadRead struct {
+		Version int64
+		Head    Head
+	}
+	// WriteRead is the row of the write id, nil when it does not exist.
+	WriteRead struct{ Write *Write }
+	// StateLoaded is the state of the head that LoadState names.
+	StateLoaded struct{ State lwtstate.State }
+	// SnapshotStored tells whether the object is stored.
+	SnapshotStored struct{ Stored bool }
+	// Answered is the store's answer to Commit. When not committed, it holds
+	// the current rows.
+	Answered struct {
+		Committed bool
+		Version   int64
+		Head      Head
+		Write     *Write
+	}
+	// Failed tells that a command other than StoreSnapshot had no answer.
+	Failed struct {
+		// NotSent says that the command did not leave the daemon.
+		NotSent bool
+	}
+	// Waited tells that the wait is over.
+	Waited struct{}
+)
+
+// Cmd is a command of a submission: ReadHead, ReadWrite, LoadState,
+// StoreSnapshot, Commit, Wait or Done.
+type Cmd any
+
+// Commands of a submission. At most one is carried out at a time.
+type (
+	// ReadHead reads the row HeadKey.
+	ReadHead struct{}
+	// ReadWrite reads the row of a write id.
+	ReadWrite struct{ WriteID string }
+	// LoadState reads what leads from a state to the head.
+	LoadState struct {
+		From lwtstate.State
+		Head Head
+	}
+	// StoreSnapshot stores an object.
+	StoreSnapshot struct{ Object Object }
+	// Commit writes Head, Record and Write in one transaction, on condition
+	// that HeadKey has the version and the row of the write id is absent.
+	Commit struct {
+		HeadVersion int64
+		Head        Head
+		Record      Record
+		Write       Write
+	}
+	// Wait sends Waited after about the given time; the caller adds jitter.
+	Wait struct{ For time.Duration }
+	// Done ends the submission.
+	Done struct{ Result Result }
+)
+
+// Waits between attempts after the store gave no answer.
+const (
+	firstWait = 100 * time.Millisecond
+	longWait  = 2 * time.Second
+)
+
+// Request is what an operator submits.
+type Request struct {
+	WriteID  string
+	Operator string
+	Ticket   Ticket
+	// Deadline is when the operator is told that the outcome is unknown.
+	Deadline time.Time
+}
+
+// Submission takes one ticket to the table. It is a pure state machine.
+type Submission struct {
+	request     Request
+	state       lwtstate.State
+	headVersion int64
+	head        Head
+	wait        time.Duration
+	// committing is the transaction on its way or without an answer.
+	committing *Commit
+	// sent says that a transaction may have taken effect unseen.
+	sent bool
+}
+
+// NewSubmission returns the submission of a request. State is any state that
+// was in force; the submission reads the tickets since then.
+func NewSubmission(request Request, state lwtstate.State) Submission {
+	return Submission{request: request, state: state, wait: firstWait}
+}
+
+// Update takes a message and returns the submission after it and its next
+// command.
+func (submission Submission) Update(now time.Time, msg Msg) (Submission, []Cmd) {
+	switch msg := msg.(type) {
+	case Started, Waited:
+		// The head is read before the write id: when the write id is then
+		// absent, no ticket up to that head is this one.
+		return submission, []Cmd{ReadHead{}}
+	case HeadRead:
+		submission.headVersion, submission.head = msg.Version, msg.Head
+		return submission, []Cmd{ReadWrite{submission.request.WriteID}}
+	case WriteRead:
+		return submission.resolved(now, msg.Write)
+	case StateLoaded:
+		submission.state = msg.State
+		return submission.decide(now)
+	case SnapshotStored:
+		return submission.snapshotStored(msg.Stored)
+	case Answered:
+		return submission.answered(now, msg)
+	case Failed:
+		return submission.failed(now, msg)
+	}
+	return submission, nil
+}
+
+func (submission Submission) done(result Result) (Submission, []Cmd) {
+	result.WriteID = submission.request.WriteID
+	return submission, []Cmd{Done{result}}
+}
+
+// resolved goes on with the row of the write id, nil when it is absent.
+func (submission Submission) resolved(now time.Time, write *Write) (Submission, []Cmd) {
+	switch {
+	case write == nil:
+		if submission.head.Number != submission.state.Number {
+			return submission, []Cmd{LoadState{submission.state, submission.head}}
+		}
+		return submission.decide(now)
+	case write.TicketHash != submission.request.Ticket.Hash():
+		return submission.done(Result{
+			Outcome: Refused, Reason: fmt.Sprintf("the write id belongs to another ticket, number %d", write.Number),
+		})
+	}
+	return submission.done(Result{Outcome: Accepted, Number: write.Number})
+}
+
+// decide checks the ticket against the state of the head.
+func (submission Submission) decide(now time.Time) (Submission, []Cmd) {
+	ticket := submission.request.Ticket
+	if conflict, found := Conflicts(submission.state, ticket); found && ticket.Base <= submission.state.Number {
+		return submission.done(Result{Outcome: Refused, Conflict: &conflict, Reason: conflict.Error()})
+	}
+	if problems := Check(submission.state, ticket); len(problems) > 0 {
+		return submission.done(Result{Outcome: Refused, Problems: problems, Reason: "the ticket has problems"})
+	}
+	next := Apply(submission.state, ticket)
+	commit := Commit{
+		HeadVersion: submission.headVersion,
+		Head:        Head{Number: next.Number, Snapshot: submission.head.Snapshot},
+		Record: Record{
+			WriteID: submission.request.WriteID, Operator: submission.request.Operator,
+			Base: ticket.Base, Accepted: now.UTC(), Change: ticket.WithNumber(next.Number),
+		},
+		Write: Write{Number: next.Number, TicketHash: ticket.Hash()},
+	}
+	submission.committing = &commit
+	if next.Number-submission.head.Snapshot.Number < SnapshotInterval {
+		return submission, []Cmd{commit}
+	}
+	object, err := Encode(next)
+	if err != nil {
+		return submission.done(Result{Outcome: Refused, Reason: err.Error()})
+	}
+	submission.committing.Head.Snapshot = Snapshot{Number: next.Number, Hash: object.Hash}
+	return submission, []Cmd{StoreSnapshot{object}}
+}
+
+// snapshotStored commits. Without its snapshot the ticket keeps the older one,
+// and the next ticket stores one.
+func (submission Submission) snapshotStored(stored bool) (Submission, []Cmd) {
+	commit := *submission.committing
+	if !stored {
+		commit.Head.Snapshot = submission.head.Snapshot
+	}
+	submission.committing = &commit
+	return submission, []Cmd{commit}
+}
+
+func (submission Submission) answered(now time.Time, answer Answered) (Submission, []Cmd) {
+	if answer.Committed {
+		return submission.done(Result{Outcome: Accepted, Number: submission.committing.Head.Number})
+	}
+	submission.committing = nil
+	submission.headVersion, submission.head = answer.Version, answer.Head
+	return submission.resolved(now, answer.Write)
+}
+
+func (submission Submission) failed(now time.Time, failure Failed) (Submission, []Cmd) {
+	if submission.committing != nil && !failure.NotSent {
+		submission.sent = true
+	}
+	submission.committing = nil
+	wait := submission.wait
+	submission.wait = min(2*wait, longWait)
+	if !now.Add(wait).After(submission.request.Deadline) {
+		return submission, []Cmd{Wait{wait}}
+	}
+	if submission.sent {
+		return submission.done(Result{Outcome: Unknown, Reason: "the store gave no answer"})
+	}
+	return submission.done(Result{
+		Outcome: Refused, Unavailable: true, Reason: "the store is not available; the ticket was not sent to it",
+	})
+}
--- /dev/null
+++ b/core/lwtticket/ticket.go
@@ -0,0 +1,75 @@
+// Package lwtticket parses and checks tickets and decides what becomes of a
+// submitted one.
+//
+// A ticket holds the complete new state of each object it touches and the
+// number of the state that its author saw. An accepted ticket leads to the next
+// number; its record is kept as a row of the table.
+package lwtticket
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+
+	"lacewingtide/core/lwtdocument"
+	"lacewingtide/core/lwtstate"
+)
+
+// Ticket is a decoded ticket.
+type Ticket struct {
+	// Base is the number of the declared state that the author saw.
+	Base int64 `json:"base" toml:"base"`
+	lwtstate.Change
+	document lwtdocument.Document
+	// form holds the problems of the ticket's form.
+	form []lwtdocument.Problem
+}
+
+// Parse decodes a ticket. The problems are those of its form alone; Check
+// reports them together with those of its content.
+func Parse(content []byte) (Ticket, []lwtdocument.Problem) {
+	var ticket Ticket
+	ticket.document, ticket.form = lwtdocument.Decode(content, &ticket)
+	return ticket, lwtdocument.Sorted(ticket.form)
+}
+
+// Hash returns the hexadecimal SHA-256 of the ticket's content. Two tickets
+// with the same content have the same hash, however they are written.
+func (ticket Ticket) Hash() string {
+	// Bounds that JSON can't express are refused by Check before a hash is kept.
+	content, _ := json.Marshal(ticket)
+	return hashOf(content)
+}
+
+func hashOf(content []byte) string {
+	sum := sha256.Sum256(content)
+	return hex.EncodeToString(sum[:])
+}
+
+// Conflict says that an object of a ticket was changed after the ticket's base.
+type Conflict struct {
+	Object lwtstate.ObjectID `json:"object"`
+	// Ticket is the number of the ticket that changed the object last.
+	Ticket int64 `json:"ticket"`
+}
+
+// Error implements error.
+func (conflict Conflict) Error() string {
+	return fmt.Sprintf("%s was changed by ticket %d after the base of this ticket", conflict.Object, conflict.Ticket)
+}
+
+// Conflicts returns the first conflict of a ticket with a state.
+func Conflicts(state lwtstate.State, ticket Ticket) (Conflict, bool) {
+	for _, id := range ticket.Objects() {
+		if changed := state.ChangedBy[id]; changed > ticket.Base {
+			return Conflict{Object: id, Ticket: changed}, true
+		}
+	}
+	return Conflict{}, false
+}
+
+// Apply returns the state after a ticket that Check found without problems.
+func Apply(state lwtstate.State, ticket Ticket) lwtstate.State {
+	return state.WithChange(ticket.WithNumber(state.Number + 1))
+}
