--- a/io/lwtdaemon/daemon.go
+++ b/io/lwtdaemon/daemon.go
@@ -15,6 +15,7 @@
 	"lacewingtide/io/lwtentry"
 	"lacewingtide/io/lwtlog"
 	"lacewingtide/io/lwtmetric"
+	"lacewingtide/io/lwtoperator"
 	"lacewingtide/io/lwtplatform"
 	"lacewingtide/io/lwtsetting"
 )
@@ -56,6 +57,8 @@
 	engines   *lwtengine.Client
 	metrics   *lwtmetric.Metrics
 	observer  *observer
+	operator  *lwtoperator.Server
+	status    *lwtoperator.Status
 }
 
 // New returns a daemon that serves on open listeners.
@@ -73,7 +76,8 @@
 		engines:   lwtengine.New(),
 		metrics:   metrics,
 	}
-	daemon.declared = newDeclared(daemon.platform, daemon.logger)
+	daemon.declared = newDeclared(settings.Name, daemon.platform, daemon.logger)
+	daemon.operator, daemon.status = newOperator(settings, daemon.declared, daemon.logger)
 	daemon.router = newRouter(daemon.declared)
 	daemon.observer = newObserver(settings.Name, daemon.declared, metrics.Scope())
 	daemon.limiter = newLimiter(daemon.declared, settings.Name)
@@ -100,6 +104,7 @@
 	supervisor.Add(daemon.declared)
 	supervisor.Add(daemon.claims)
 	supervisor.Add(serverPart{"entry", func() error { return daemon.entry.Serve(daemon.listeners.Entry) }})
+	supervisor.Add(serverPart{"operator", func() error { return daemon.operator.Serve(daemon.listeners.Operator) }})
 	lwtlog.Info(daemon.logger, "daemon-started", "entry-address", daemon.listeners.Entry.Addr(),
 		"availability-zone", daemon.settings.AvailabilityZone)
 	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -108,6 +113,7 @@
 	<-ctx.Done()
 	err := daemon.entry.Shutdown()
 	daemon.claims.Drain(claimDrain)
+	err = errors.Join(err, daemon.operator.Shutdown(parts))
 	stop()
 	if ended := <-ended; !errors.Is(ended, context.Canceled) {
 		lwtlog.Warn(daemon.logger, "supervisor-ended", "err", ended)
--- a/io/lwtdaemon/relay_bench_test.go
+++ b/io/lwtdaemon/relay_bench_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -19,7 +18,6 @@
 	"lacewingtide/core/lwtstate"
 	"lacewingtide/io/lwtdaemon"
 	"lacewingtide/io/lwtentry"
-	"lacewingtide/io/lwtplatform"
 	"lacewingtide/io/lwtsetting"
 	"lacewingtide/io/lwtstandin"
 )
@@ -66,11 +64,9 @@
 	tb.Helper()
 	platform, platformListener := lwtstandin.NewPlatform(), listen(tb)
 	go func() { _ = platform.Serve(platformListener) }()
-	value, err := json.Marshal(lwtstate.New().WithChange(change))
-	if err != nil {
+	if err := platform.Declare(change); err != nil {
 		tb.Fatal(err)
 	}
-	platform.Table().Commit(lwtplatform.Transaction{Puts: []lwtplatform.Put{{Key: "config/head", Value: value}}})
 	listeners := lwtdaemon.Listeners{Entry: listen(tb), Peer: listen(tb), Operator: listen(tb)}
 	settings := lwtsetting.Default()
 	settings.Name, settings.AvailabilityZone = "d1", "z1"
