Add leases, orders and their parts in the daemon (thin version)

Cause: engines must be changed by one holder per group, and only by it. Change: core/lwtlease decides who holds a group's lease, core/lwtorder moves each engine to its declared state, the engine client sends orders with Expect: 100-continue, the engine stand-in carries them out, and the daemon executes both models.

--- /dev/null
+++ b/core/lwtorder/choose.go
@@ -0,0 +1,222 @@
+package lwtorder
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Reasons why an engine that differs from the declared state waits.
+const (
+	ReasonUnsafe   = "the engine neither checks fencing numbers nor declares order-read-timeout"
+	ReasonLastCopy = "it is the last serving copy of a model"
+	ReasonLoads    = "the group loads as many engines as it may"
+	ReasonStopping = "the daemon is shutting down"
+	ReasonTries    = "the last order had no effect"
+	ReasonLease    = "the lease ends too soon for the order-read-timeout"
+)
+
+// step sends the reads and orders that are due.
+func (model Model) step(now time.Time) (Model, []Cmd) {
+	if !model.lease.Valid(now) {
+		return model, nil
+	}
+	for name, engine := range model.engines {
+		engine.target = model.target(engine)
+		if engine.phase == PhaseDraining && !engine.differs() {
+			// The declared state went back to what the engine runs.
+			engine.phase, engine.reason, engine.out = PhaseSteady, "", false
+		}
+		model.engines[name] = engine
+	}
+	var cmds []Cmd
+	for _, name := range model.byFewestCopies() {
+		if cmd := model.advance(now, name); cmd != nil {
+			cmds = append(cmds, cmd)
+		}
+	}
+	for _, name := range model.names {
+		if engine := model.engines[name]; engine.readDue(now) {
+			model.attempts++
+			engine.attempt = model.attempts
+			if engine.phase == PhaseUnknown {
+				engine.phase = PhaseReading
+			}
+			model.engines[name] = engine
+			cmds = append(cmds, ReadState{Engine: name, Address: engine.declared.Address, Attempt: engine.attempt})
+		}
+	}
+	if model.mayReserve && model.atRest() {
+		model.mayReserve = false
+		cmds = append(cmds, Free{Group: model.group})
+	}
+	if above := model.highestFencing(); above > model.lease.Fencing {
+		cmds = append(cmds, RaiseFencing{Group: model.group, Above: above})
+	}
+	return model, cmds
+}
+
+// highestFencing returns the highest fencing number that an engine of the group
+// which checks them reports, such as that of a former group.
+func (model Model) highestFencing() int64 {
+	var highest int64
+	for _, engine := range model.engines {
+		if engine.declared.ChecksFencing {
+			highest = max(highest, engine.state.Last.Fencing)
+		}
+	}
+	return highest
+}
+
+func (model Model) atRest() bool {
+	for _, engine := range model.engines {
+		if engine.phase != PhaseSteady || engine.reserving || len(engine.reserved) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// byFewestCopies returns the engines' names, those first whose next load is of
+// a model with the fewest serving copies in the group.
+func (model Model) byFewestCopies() []string {
+	copies := func(name string) int {
+		engine := model.engines[name]
+		fewest := len(model.engines)
+		for _, loaded := range engine.target.loads(engine.state.Content) {
+			fewest = min(fewest, model.serving(loaded, name))
+		}
+		return fewest
+	}
+	names := slices.Clone(model.names)
+	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(copies(a), copies(b)) })
+	return names
+}
+
+// serving counts the engines of the group other than one that serve a model.
+func (model Model) serving(name, except string) int {
+	count := 0
+	for _, engine := range model.engines {
+		if engine.declared.Name != except && engine.serving(name) {
+			count++
+		}
+	}
+	return count
+}
+
+// advance moves one engine on if it differs from its target. It modifies the
+// model's own engine map.
+func (model *Model) advance(now time.Time, name string) Cmd {
+	engine := model.engines[name]
+	if engine.phase != PhaseSteady && engine.phase != PhaseDraining {
+		return nil
+	}
+	if engine.phase == PhaseSteady {
+		engine.reason = ""
+	}
+	if !engine.differs() {
+		engine.reserved = nil
+	}
+	if !engine.differs() || engine.reserving {
+		model.engines[name] = engine
+		return nil
+	}
+	next, cmd := model.decide(now, engine)
+	model.engines[name] = next
+	return cmd
+}
+
+func (model *Model) decide(now time.Time, engine engine) (engine, Cmd) {
+	switch {
+	case !engine.orderable():
+		engine.reason = ReasonUnsafe
+		return engine, nil
+	case model.stopping:
+		engine.reason = ReasonStopping
+		return engine, nil
+	case now.Before(engine.orderAt):
+		engine.reason = ReasonTries
+		return engine, nil
+	case engine.phase == PhaseDraining:
+		if !engine.drained(now) {
+			return engine, nil
+		}
+		return model.order(now, engine, engine.target)
+	case engine.target.Extends(engine.state.Content):
+		return model.order(now, engine, engine.target)
+	}
+	return model.takeOut(now, engine)
+}
+
+// takeOut begins a change that makes the engine unavailable or removes
+// something from it.
+func (model *Model) takeOut(now time.Time, engine engine) (engine, Cmd) {
+	needed := model.lastCopies(engine)
+	if !slices.ContainsFunc(needed, func(name string) bool { return !slices.Contains(engine.reserved, name) }) {
+		engine.phase, engine.reason, engine.out = PhaseDraining, "", true
+		engine.drainSince, engine.idleReads = now, 0
+		engine.nextRead = now
+		return engine, nil
+	}
+	engine.reason = ReasonLastCopy
+	if both := engine.state.Content.With(engine.target); !both.Equal(engine.state.Content) &&
+		both.blocks(model.state) <= engine.declared.MemoryBlocks {
+		return model.order(now, engine, both)
+	}
+	if now.Before(engine.reserveAt) {
+		return engine, nil
+	}
+	model.attempts++
+	model.mayReserve = true
+	engine.attempt, engine.reserving = model.attempts, true
+	return engine, Reserve{
+		Engine: engine.declared.Name, Attempt: engine.attempt, Group: model.group, Models: needed,
+	}
+}
+
+// lastCopies returns the models, sorted, of which the engine is the only
+// serving copy in the group although another engine is declared to serve them.
+func (model *Model) lastCopies(engine engine) []string {
+	var needed []string
+	for _, name := range slices.Sorted(maps.Keys(engine.state.Content.Models)) {
+		elsewhere := slices.ContainsFunc(model.state.EnginesOf(name), func(other string) bool {
+			return other != engine.declared.Name
+		})
+		if elsewhere && model.serving(name, engine.declared.Name) == 0 {
+			needed = append(needed, name)
+		}
+	}
+	return needed
+}
+
+// order sends an order unless the group's bound or the lease forbids it.
+func (model *Model) order(now time.Time, engine engine, content Content) (engine, Cmd) {
+	loads := 0
+	for _, other := range model.engines {
+		if other.loading() {
+			loads++
+		}
+	}
+	switch {
+	case loads >= MaxLoads && len(content.loads(engine.state.Content)) > 0:
+		engine.reason = ReasonLoads
+		return engine, nil
+	case !model.lease.Lasts(now, engine.margin()):
+		engine.reason = ReasonLease
+		return engine, nil
+	}
+	model.sequence++
+	model.attempts++
+	engine.order = Order{
+		Number:      Number{Fencing: model.lease.Fencing, Sequence: model.sequence},
+		Incarnation: engine.state.Incarnation,
+		Content:     content,
+	}
+	engine.phase, engine.reason, engine.attempt = PhaseOrdering, "", model.attempts
+	engine.accepted = false
+	return engine, SendOrder{
+		Engine: engine.declared.Name, Address: engine.declared.Address, Attempt: engine.attempt,
+		Order: engine.order, Margin: engine.margin(),
+	}
+}
--- /dev/null
+++ b/core/lwtorder/model.go
@@ -0,0 +1,223 @@
+package lwtorder
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"lacewingtide/core/lwtlease"
+	"lacewingtide/core/lwtstate"
+)
+
+// Times and bounds of the work on a group.
+const (
+	// TickInterval is the time between two Tick messages.
+	TickInterval = 250 * time.Millisecond
+	// SteadyReadInterval is the time between two reads of an engine at rest.
+	SteadyReadInterval = 5 * time.Second
+	// DrainSettle is how long routers take at most to learn of a drain.
+	DrainSettle = 3 * time.Second
+	// MaxLoads bounds the engines of a group that load weights at the same time.
+	MaxLoads = 2
+
+	// AdoptDelay is the wait before the first order to an engine that came from
+	// outside the group: the 15 s in which the declared state reaches the holder
+	// of its former group, and that holder's lease.
+	AdoptDelay = 15*time.Second + lwtlease.Duration
+
+	firstOrderBackoff  = 500 * time.Millisecond
+	maxOrderBackoff    = 30 * time.Second
+	changeReadInterval = 250 * time.Millisecond
+	maxReadBackoff     = 4 * time.Second
+	reserveInterval    = 2 * time.Second
+	idleReadsNeeded    = 2
+)
+
+// Model moves the engines of one group to the declared state. The zero Model is
+// not usable; New returns one.
+type Model struct {
+	group    string
+	state    lwtstate.State
+	lease    lwtlease.Lease
+	engines  map[string]engine
+	names    []string
+	roles    map[string]lwtstate.Role
+	sequence int64
+	attempts int64
+	ticked   time.Time
+	// mayReserve says that reservation rows of the group may exist.
+	mayReserve bool
+	stopping   bool
+}
+
+// New returns the model of a group without a declared state.
+func New(group string) Model { return Model{group: group} }
+
+// Update processes one message.
+func (model Model) Update(now time.Time, msg Msg) (Model, []Cmd) {
+	before := model
+	model.engines = maps.Clone(model.engines)
+	switch msg := msg.(type) {
+	case Declare:
+		model = model.declare(now, msg.State)
+	case Authority:
+		model = model.authorize(now, msg.Lease)
+	case RoleWanted:
+		model.roles = maps.Clone(model.roles)
+		if model.roles == nil {
+			model.roles = map[string]lwtstate.Role{}
+		}
+		model.roles[msg.Engine] = msg.Role
+	case Stop:
+		model.stopping = true
+	case Tick:
+		model = model.tick(now)
+	case StateRead:
+		model = model.stateRead(now, msg)
+	case Ordered:
+		if engine, found := model.answered(msg.Engine, msg.Attempt); found && engine.phase == PhaseOrdering {
+			model.engines[msg.Engine] = engine.sent(now, msg.Outcome)
+		}
+	case Reserved:
+		model = model.reservedAnswer(now, msg)
+	}
+	next, cmds := model.step(now)
+	return next, append(changes(before, next), cmds...)
+}
+
+// Idle reports whether no order sent by this daemon can still take effect.
+func (model Model) Idle(now time.Time) bool {
+	for _, engine := range model.engines {
+		if engine.inFlight(now) || now.Before(engine.quiet) {
+			return false
+		}
+	}
+	return true
+}
+
+func (model Model) tick(now time.Time) Model {
+	late := now.Sub(model.ticked)
+	if !model.ticked.IsZero() && late > TickInterval+lwtlease.PauseLimit {
+		// After a pause everything is read again before the next order.
+		model = model.reset(now)
+	}
+	model.ticked = now
+	if model.lease.Fencing > 0 && !model.lease.Valid(now) {
+		model = model.reset(now)
+		model.lease = lwtlease.Lease{}
+	}
+	return model
+}
+
+func (model Model) authorize(now time.Time, lease lwtlease.Lease) Model {
+	if lease.Fencing != model.lease.Fencing {
+		model = model.reset(now)
+		model.sequence, model.mayReserve, model.roles = 0, true, nil
+	}
+	model.lease = lease
+	return model
+}
+
+func (model Model) reset(now time.Time) Model {
+	for name, engine := range model.engines {
+		model.engines[name] = engine.reset(now, model.lease.Until)
+	}
+	return model
+}
+
+func (model Model) declare(now time.Time, state lwtstate.State) Model {
+	if state.Number <= model.state.Number {
+		return model
+	}
+	first := model.state.Number == 0
+	model.state = state
+	engines := map[string]engine{}
+	for name, declared := range state.Engines {
+		if declared.Group != model.group {
+			continue
+		}
+		current, found := model.engines[name]
+		if !found || current.declared.Address != declared.Address ||
+			current.declared.ChecksFencing != declared.ChecksFencing {
+			current = newEngine(declared, Content{})
+			if !found && !first {
+				current.quiet = now.Add(AdoptDelay)
+			}
+		}
+		current.declared = declared
+		engines[name] = current
+	}
+	model.engines, model.names = engines, slices.Sorted(maps.Keys(engines))
+	return model
+}
+
+// target returns what an engine should run: the declared content, in the role
+// that the planner wants. A permitted role that an earlier holder's planner
+// chose is kept.
+func (model Model) target(engine engine) Content {
+	role := engine.declared.Role
+	permitted := func(wanted lwtstate.Role) bool {
+		return slices.Contains(engine.declared.PlannerRoles, wanted)
+	}
+	if current := engine.state.Content.Role; permitted(current) {
+		role = current
+	}
+	if wanted, found := model.roles[engine.declared.Name]; found &&
+		(permitted(wanted) || wanted == engine.declared.Role) {
+		role = wanted
+	}
+	return Declared(model.state, engine.declared, role)
+}
+
+// answered returns the engine that waits for the answer to an attempt.
+func (model Model) answered(name string, attempt int64) (engine, bool) {
+	engine, found := model.engines[name]
+	return engine, found && engine.attempt == attempt && attempt != 0
+}
+
+func (model Model) stateRead(now time.Time, msg StateRead) Model {
+	engine, found := model.answered(msg.Engine, msg.Attempt)
+	if !found || engine.phase == PhaseOrdering || engine.reserving {
+		return model
+	}
+	if msg.Failed {
+		model.engines[msg.Engine] = engine.readFailed(now)
+		return model
+	}
+	model.engines[msg.Engine] = engine.read(now, msg.State)
+	return model
+}
+
+func (model Model) reservedAnswer(now time.Time, msg Reserved) Model {
+	engine, found := model.answered(msg.Engine, msg.Attempt)
+	if !found || !engine.reserving {
+		return model
+	}
+	engine.attempt, engine.reserving = 0, false
+	engine.reserveAt = now.Add(reserveInterval)
+	if msg.Granted {
+		engine.reserved = msg.Models
+	}
+	model.engines[msg.Engine] = engine
+	return model
+}
+
+// changes returns the commands that report what differs between two models.
+func changes(before, after Model) []Cmd {
+	var cmds []Cmd
+	for name, engine := range before.engines {
+		if _, found := after.engines[name]; !found && engine.out {
+			cmds = append(cmds, MarkDraining{Engine: name})
+		}
+	}
+	for _, name := range after.names {
+		old, engine := before.engines[name], after.engines[name]
+		if old.out != engine.out {
+			cmds = append(cmds, MarkDraining{Engine: name, Draining: engine.out})
+		}
+		if old.phase != engine.phase || old.reason != engine.reason {
+			cmds = append(cmds, Notice{Engine: name, Phase: engine.phase, Reason: engine.reason})
+		}
+	}
+	return cmds
+}
--- /dev/null
+++ b/io/lwtdaemon/authority_status.go
@@ -0,0 +1,48 @@
+package lwtdaemon
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"lacewingtide/core/lwtorder"
+	"lacewingtide/core/lwtstate"
+)
+
+// GroupStatus describes the lease and the engines of one group as this daemon
+// sees them.
+type GroupStatus struct {
+	Group string `json:"group"`
+	// Holder is the daemon run that held the lease when the row was last read;
+	// empty if nobody did. Only candidates read the row regularly.
+	Holder  string `json:"holder"`
+	Fencing int64  `json:"fencing"`
+	// Own says that this daemon holds the lease now.
+	Own bool `json:"own"`
+	// Left is the time until the daemon's own lease ends without renewal.
+	Left lwtstate.Duration `json:"left,omitzero"`
+	// Engines is filled in by the holder only.
+	Engines []lwtorder.EngineStatus `json:"engines,omitempty"`
+}
+
+// AuthorityStatus returns the status of all groups, sorted by name.
+func (daemon *Daemon) AuthorityStatus() []GroupStatus {
+	return daemon.authority.status(time.Now())
+}
+
+func (authority *authority) status(now time.Time) []GroupStatus {
+	authority.mutex.RLock()
+	defer authority.mutex.RUnlock()
+	status := make([]GroupStatus, 0, len(authority.groups))
+	for _, name := range slices.Sorted(maps.Keys(authority.groups)) {
+		group := authority.groups[name]
+		row, _ := group.lease.Row()
+		one := GroupStatus{Group: name, Holder: row.Holder, Fencing: row.Fencing}
+		if lease := group.lease.Lease(); lease.Valid(now) {
+			one.Own, one.Left = true, lwtstate.Duration(lease.Until.Sub(now))
+			one.Engines = group.order.Status()
+		}
+		status = append(status, one)
+	}
+	return status
+}
--- a/io/lwtdaemon/daemon.go
+++ b/io/lwtdaemon/daemon.go
@@ -51,6 +51,7 @@
 	entry     *lwtentry.Server
 	platform  *lwtplatform.Client
 	engines   *lwtengine.Client
+	authority *authority
 }
 
 // New returns a daemon that serves on open listeners.
@@ -64,6 +65,7 @@
 	}
 	daemon.declared = newDeclared(daemon.platform, daemon.logger)
 	daemon.router = newRouter(daemon.declared)
+	daemon.authority = newAuthority(daemon.runName(), daemon.declared, daemon.platform, daemon.engines, daemon.logger)
 	daemon.entry = lwtentry.New(lwtentry.Dependencies{
 		Declared:         daemon.declared,
 		Router:           daemon.router,
@@ -84,6 +86,7 @@
 func (daemon *Daemon) Run(ctx context.Context) error {
 	supervisor := suture.New("daemon "+daemon.settings.Name, suture.Spec{EventHook: daemon.supervised})
 	supervisor.Add(daemon.declared)
+	supervisor.Add(daemon.authority)
 	supervisor.Add(serverPart{"entry", func() error { return daemon.entry.Serve(daemon.listeners.Entry) }})
 	lwtlog.Info(daemon.logger, "daemon-started", "entry-address", daemon.listeners.Entry.Addr(),
 		"availability-zone", daemon.settings.AvailabilityZone)
@@ -91,6 +94,7 @@
 	defer stop()
 	ended := supervisor.ServeBackground(parts)
 	<-ctx.Done()
+	daemon.authority.Shutdown()
 	err := daemon.entry.Shutdown()
 	stop()
 	if ended := <-ended; !errors.Is(ended, context.Canceled) {
--- /dev/null
+++ b/io/lwtdaemon/lease.go
@@ -0,0 +1,134 @@
+package lwtdaemon
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"lacewingtide/core/lwtlease"
+	"lacewingtide/core/lwtorder"
+	"lacewingtide/io/lwtlog"
+	"lacewingtide/io/lwtplatform"
+)
+
+func leaseKey(group string) string { return "lease/" + group }
+
+func (authority *authority) executeLease(cmd lwtlease.Cmd) {
+	switch cmd := cmd.(type) {
+	case lwtlease.Read:
+		authority.submit(authority.storeCalls, func() { authority.readLease(cmd) }, func() {
+			authority.answer(groupMsg{group: cmd.Group, lease: lwtlease.RowRead{Request: cmd.Request, Failed: true}})
+		})
+	case lwtlease.Commit:
+		authority.submit(authority.storeCalls, func() { authority.commitLease(cmd) }, func() {
+			authority.answer(groupMsg{group: cmd.Group, lease: lwtlease.Committed{Request: cmd.Request, Failed: true}})
+		})
+	case lwtlease.Notice:
+		lwtlog.Info(authority.logger, string(cmd.Event), "group", cmd.Group, "fencing", cmd.Fencing)
+	}
+}
+
+func (authority *authority) readLease(cmd lwtlease.Read) {
+	row, err := authority.platform.Row(leaseKey(cmd.Group))
+	answer := lwtlease.RowRead{Request: cmd.Request}
+	if err == nil {
+		answer.Row, err = leaseRow(row)
+	}
+	if err != nil && !errors.Is(err, lwtplatform.ErrNotFound) {
+		lwtlog.Warn(authority.logger, "lease-read-failed", "group", cmd.Group, "err", err)
+		answer.Failed = true
+	}
+	authority.answer(groupMsg{group: cmd.Group, lease: answer})
+}
+
+func (authority *authority) commitLease(cmd lwtlease.Commit) {
+	answer := lwtlease.Committed{Request: cmd.Request, Row: cmd.Row}
+	if err := authority.tryCommit(cmd, &answer); err != nil {
+		lwtlog.Warn(authority.logger, "lease-write-failed", "group", cmd.Group, "err", err)
+		answer.Failed = true
+	}
+	authority.answer(groupMsg{group: cmd.Group, lease: answer})
+}
+
+func (authority *authority) tryCommit(cmd lwtlease.Commit, answer *lwtlease.Committed) error {
+	value, err := json.Marshal(cmd.Row)
+	if err != nil {
+		return fmt.Errorf("encode lease row: %w", err)
+	}
+	key := leaseKey(cmd.Group)
+	result, err := authority.platform.Commit(lwtplatform.Transaction{
+		Conditions: []lwtplatform.Condition{{Key: key, Version: cmd.Version}},
+		Puts:       []lwtplatform.Put{{Key: key, Value: value}},
+	})
+	if err != nil {
+		return err
+	}
+	answer.Row.Version = result.Version
+	if result.Committed {
+		return nil
+	}
+	answer.Conflict = true
+	if len(result.Rows) != 1 {
+		return fmt.Errorf("conflict without the lease row")
+	}
+	answer.Row, err = leaseRow(result.Rows[0])
+	return err
+}
+
+func leaseRow(row lwtplatform.Row) (lwtlease.Row, error) {
+	var lease lwtlease.Row
+	if row.Version > 0 {
+		if err := json.Unmarshal(row.Value, &lease); err != nil {
+			return lease, fmt.Errorf("decode lease row: %w", err)
+		}
+	}
+	lease.Version = row.Version
+	return lease, nil
+}
+
+// mayOrder reports whether the lease with a fencing number lasts for a span.
+func (authority *authority) mayOrder(now time.Time, name string, fencing int64, span time.Duration) bool {
+	authority.mutex.RLock()
+	defer authority.mutex.RUnlock()
+	lease := authority.groups[name].lease.Lease()
+	return lease.Fencing == fencing && lease.Lasts(now, span)
+}
+
+// shouldRelease reports whether a lease is to be given up: the group has no
+// engines any more or the daemon stops, and no order can take effect any more.
+func (authority *authority) shouldRelease(name string) bool {
+	authority.mutex.RLock()
+	defer authority.mutex.RUnlock()
+	return authority.stopping && authority.groups[name].order.Idle(time.Now())
+}
+
+// Shutdown stops sending orders and releases the leases. It returns when all
+// are released or after releaseTimeout.
+func (authority *authority) Shutdown() {
+	authority.mutex.Lock()
+	authority.stopping = true
+	names := make([]string, 0, len(authority.groups))
+	for name := range authority.groups {
+		names = append(names, name)
+	}
+	authority.mutex.Unlock()
+	for _, name := range names {
+		authority.update(groupMsg{group: name, order: lwtorder.Stop{}})
+	}
+	deadline := time.Now().Add(releaseTimeout)
+	for time.Now().Before(deadline) && !authority.released() {
+		time.Sleep(lwtlease.TickInterval / 5)
+	}
+}
+
+func (authority *authority) released() bool {
+	authority.mutex.RLock()
+	defer authority.mutex.RUnlock()
+	for _, group := range authority.groups {
+		if !group.lease.Released() {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/io/lwtdaemon/order.go
@@ -0,0 +1,151 @@
+package lwtdaemon
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"lacewingtide/core/lwtlease"
+	"lacewingtide/core/lwtorder"
+	"lacewingtide/io/lwtlog"
+	"lacewingtide/io/lwtplatform"
+)
+
+func (authority *authority) executeOrder(group string, cmd lwtorder.Cmd) {
+	answer := func(msg lwtorder.Msg) { authority.answer(groupMsg{group: group, order: msg}) }
+	switch cmd := cmd.(type) {
+	case lwtorder.ReadState:
+		authority.submit(authority.engineCalls, func() { answer(authority.readState(cmd)) }, func() {
+			answer(lwtorder.StateRead{Engine: cmd.Engine, Attempt: cmd.Attempt, Failed: true})
+		})
+	case lwtorder.SendOrder:
+		authority.submit(authority.engineCalls, func() { answer(authority.sendOrder(group, cmd)) }, func() {
+			answer(lwtorder.Ordered{Engine: cmd.Engine, Attempt: cmd.Attempt, Outcome: lwtorder.OutcomeNotSent})
+		})
+	case lwtorder.Reserve:
+		authority.submit(authority.storeCalls, func() { answer(authority.reserve(cmd)) }, func() {
+			answer(lwtorder.Reserved{Engine: cmd.Engine, Attempt: cmd.Attempt})
+		})
+	case lwtorder.Free:
+		authority.submit(authority.storeCalls, func() { authority.free(cmd.Group) }, func() {})
+	case lwtorder.RaiseFencing:
+		go authority.answer(groupMsg{group: group, lease: lwtlease.Raise{Above: cmd.Above}})
+	case lwtorder.MarkDraining:
+		lwtlog.Info(authority.logger, "engine-draining", "engine", cmd.Engine, "draining", cmd.Draining)
+	case lwtorder.Notice:
+		lwtlog.Info(authority.logger, "engine-phase", "engine", cmd.Engine, "phase", string(cmd.Phase), "reason", cmd.Reason)
+	}
+}
+
+func (authority *authority) readState(cmd lwtorder.ReadState) lwtorder.StateRead {
+	state, err := authority.engines.State(cmd.Address)
+	if err != nil {
+		lwtlog.Debug(authority.logger, "engine-read-failed", "engine", cmd.Engine, "err", err)
+	}
+	return lwtorder.StateRead{Engine: cmd.Engine, Attempt: cmd.Attempt, State: state, Failed: err != nil}
+}
+
+func (authority *authority) sendOrder(group string, cmd lwtorder.SendOrder) lwtorder.Ordered {
+	outcome, err := authority.engines.Order(cmd.Address, cmd.Order, func(now time.Time) bool {
+		return authority.mayOrder(now, group, cmd.Order.Fencing, cmd.Margin)
+	})
+	lwtlog.Info(authority.logger, "order-sent", "engine", cmd.Engine, "fencing", cmd.Order.Fencing,
+		"sequence", cmd.Order.Sequence, "outcome", string(outcome), "err", err)
+	return lwtorder.Ordered{Engine: cmd.Engine, Attempt: cmd.Attempt, Outcome: outcome}
+}
+
+const reservationPrefix = "reservation/"
+
+// reservation is the row of a model whose last copy in a group is being taken
+// out of service.
+type reservation struct {
+	Group string `json:"group"`
+}
+
+// reserve writes the reservation rows and then looks for other groups' copies.
+// The order matters: after the write, no other group that has a copy gives up
+// its last one.
+func (authority *authority) reserve(cmd lwtorder.Reserve) lwtorder.Reserved {
+	granted := true
+	for _, model := range cmd.Models {
+		if err := authority.reserveModel(cmd.Group, model); err != nil {
+			lwtlog.Info(authority.logger, "reservation-not-granted", "group", cmd.Group, "model", model, "err", err)
+			granted = false
+			break
+		}
+		if !authority.servedElsewhere(cmd.Group, model) {
+			granted = false
+			break
+		}
+	}
+	return lwtorder.Reserved{Engine: cmd.Engine, Attempt: cmd.Attempt, Models: cmd.Models, Granted: granted}
+}
+
+func (authority *authority) reserveModel(group, model string) error {
+	key := reservationPrefix + model
+	row, err := authority.platform.Row(key)
+	if err != nil && !errors.Is(err, lwtplatform.ErrNotFound) {
+		return err
+	}
+	if row.Version > 0 {
+		var holder reservation
+		if err := json.Unmarshal(row.Value, &holder); err != nil {
+			return fmt.Errorf("decode reservation: %w", err)
+		}
+		if holder.Group == group {
+			return nil
+		}
+		return fmt.Errorf("reserved by group %s", holder.Group)
+	}
+	value, err := json.Marshal(reservation{Group: group})
+	if err != nil {
+		return fmt.Errorf("encode reservation: %w", err)
+	}
+	result, err := authority.platform.Commit(lwtplatform.Transaction{
+		Conditions: []lwtplatform.Condition{{Key: key, Version: row.Version}},
+		Puts:       []lwtplatform.Put{{Key: key, Value: value}},
+	})
+	if err != nil {
+		return err
+	}
+	if !result.Committed {
+		return errors.New("another group was first")
+	}
+	return nil
+}
+
+func (authority *authority) servedElsewhere(group, model string) bool {
+	state, _ := authority.declared.State()
+	for _, name := range state.EnginesOf(model) {
+		engine := state.Engines[name]
+		if engine.Group == group || engine.Draining {
+			continue
+		}
+		engineState, err := authority.engines.State(engine.Address)
+		if _, serves := engineState.Content.Models[model]; err == nil && serves && !engineState.Changing {
+			return true
+		}
+	}
+	return false
+}
+
+// free deletes the group's reservation rows. What it misses is deleted by the
+// next holder, which also begins with unknown reservations.
+func (authority *authority) free(group string) {
+	rows, err := authority.platform.Rows(reservationPrefix)
+	if err != nil {
+		lwtlog.Warn(authority.logger, "reservations-not-freed", "group", group, "err", err)
+		return
+	}
+	for _, row := range rows {
+		var holder reservation
+		if err := json.Unmarshal(row.Value, &holder); err != nil || holder.Group != group {
+			continue
+		}
+		_, err := authority.platform.Commit(lwtplatform.Transaction{
+			Conditions: []lwtplatform.Condition{{Key: row.Key, Version: row.Version}}, Deletes: []string{row.Key},
+		})
+		lwtlog.Info(authority.logger, "reservation-freed", "group", group, "row", row.Key, "err", err)
+	}
+}
--- /dev/null
+++ b/io/lwtengine/order.go
@@ -0,0 +1,142 @@
+package lwtengine
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"lacewingtide/core/lwtorder"
+)
+
+// ErrNoAuthority reports that an order's body was held back because the lease
+// was gone or too short.
+var ErrNoAuthority = errors.New("the lease does not last for the order")
+
+// State reads an engine's state over a connection of its own, so that a silent
+// connection from before has no influence.
+func (client *Client) State(address string) (lwtorder.State, error) {
+	conn, err := dialFresh(address)
+	if err != nil {
+		return lwtorder.State{}, err
+	}
+	defer closeConn(conn)
+	if _, err := fmt.Fprintf(conn, "GET /v1/state HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", address); err != nil {
+		return lwtorder.State{}, fmt.Errorf("ask %s for its state: %w", address, err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return lwtorder.State{}, fmt.Errorf("read the state of %s: %w", address, err)
+	}
+	defer closeBody(response)
+	if response.StatusCode != http.StatusOK {
+		return lwtorder.State{}, fmt.Errorf("read the state of %s: status %d", address, response.StatusCode)
+	}
+	return decodeState(response, address)
+}
+
+func decodeState(response *http.Response, address string) (lwtorder.State, error) {
+	var body struct {
+		Incarnation int64            `json:"incarnation"`
+		Content     lwtorder.Content `json:"content"`
+		Changing    bool             `json:"changing"`
+		Running     int              `json:"running"`
+		Fencing     int64            `json:"fencing"`
+		Sequence    int64            `json:"sequence"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&body); err != nil {
+		return lwtorder.State{}, fmt.Errorf("decode the state of %s: %w", address, err)
+	}
+	return lwtorder.State{
+		Incarnation: body.Incarnation, Content: body.Content, Changing: body.Changing, Running: body.Running,
+		Last: lwtorder.Number{Fencing: body.Fencing, Sequence: body.Sequence},
+	}, nil
+}
+
+// Order sends an order over a connection of its own. The body follows only
+// after the engine's 100 Continue, and only if maySend then agrees. The engine
+// drops an order whose body is not complete within its order read timeout of
+// the 100, so whatever delays the body after maySend, the order takes effect
+// within that time or not at all.
+func (client *Client) Order(
+	address string, order lwtorder.Order, maySend func(now time.Time) bool,
+) (lwtorder.Outcome, error) {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return lwtorder.OutcomeNotSent, fmt.Errorf("encode order: %w", err)
+	}
+	conn, err := dialFresh(address)
+	if err != nil {
+		return lwtorder.OutcomeNotSent, err
+	}
+	defer closeConn(conn)
+	reader := bufio.NewReader(conn)
+	if outcome, err := announce(conn, reader, address, len(body)); err != nil {
+		return outcome, err
+	}
+	if !maySend(time.Now()) {
+		return lwtorder.OutcomeNotSent, ErrNoAuthority
+	}
+	if _, err := conn.Write(body); err != nil {
+		return lwtorder.OutcomeUnknown, fmt.Errorf("send order to %s: %w", address, err)
+	}
+	return orderAnswer(reader, address)
+}
+
+// announce sends the head of an order and waits for the engine's 100 Continue.
+func announce(conn net.Conn, reader *bufio.Reader, address string, length int) (lwtorder.Outcome, error) {
+	if _, err := fmt.Fprintf(conn, "POST /v1/orders HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n"+
+		"Content-Length: %d\r\nExpect: 100-continue\r\nConnection: close\r\n\r\n", address, length); err != nil {
+		return lwtorder.OutcomeNotSent, fmt.Errorf("announce order to %s: %w", address, err)
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return lwtorder.OutcomeNotSent, fmt.Errorf("wait for 100 Continue of %s: %w", address, err)
+	}
+	defer closeBody(response)
+	if response.StatusCode != http.StatusContinue {
+		return lwtorder.OutcomeRefused, fmt.Errorf("announce order to %s: status %d", address, response.StatusCode)
+	}
+	return "", nil
+}
+
+func orderAnswer(reader *bufio.Reader, address string) (lwtorder.Outcome, error) {
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return lwtorder.OutcomeUnknown, fmt.Errorf("read order answer of %s: %w", address, err)
+	}
+	defer closeBody(response)
+	switch status := response.StatusCode; {
+	case status == http.StatusOK || status == http.StatusAccepted:
+		return lwtorder.OutcomeAccepted, nil
+	case response.Header.Get("Engine-Outcome") == "not-run":
+		return lwtorder.OutcomeRefused, fmt.Errorf("order to %s refused: status %d", address, status)
+	default:
+		return lwtorder.OutcomeUnknown, fmt.Errorf("order to %s: status %d", address, status)
+	}
+}
+
+func dialFresh(address string) (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	if err := conn.SetDeadline(time.Now().Add(ProgressTimeout)); err != nil {
+		closeConn(conn)
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return conn, nil
+}
+
+func closeConn(conn net.Conn) {
+	// The connection is not used again, so an error changes nothing.
+	_ = conn.Close()
+}
+
+func closeBody(response *http.Response) {
+	// The connection is closed with it, so an error changes nothing.
+	_ = response.Body.Close()
+}
--- a/io/lwtstandin/engine.go
+++ b/io/lwtstandin/engine.go
@@ -34,6 +34,10 @@
 	OrderReadTimeout time.Duration
 	// ChangeTime is the time that a change of role or models takes.
 	ChangeTime time.Duration
+	// Weights is where models are loaded from; nil for no limit.
+	Weights *WeightStore
+	// ModelBlocks is the size of a model's weights for the weight store.
+	ModelBlocks int
 }
 
 // DefaultEngineOptions returns the options of a mid-size engine.
@@ -51,6 +55,7 @@
 		ChecksFencing:    true,
 		OrderReadTimeout: time.Second,
 		ChangeTime:       time.Second,
+		ModelBlocks:      64,
 	}
 }
 
@@ -67,6 +72,9 @@
 	state       engineState
 	wake        chan struct{}
 	started     int64
+	orders      engineOrders
+	// gate is held while the engine is paused.
+	gate sync.RWMutex
 }
 
 // NewEngine returns an engine. Its incarnation must differ from that of every
@@ -77,7 +85,7 @@
 		incarnation: incarnation,
 		streams:     map[string]*engineStream{},
 		wake:        make(chan struct{}, 1),
-		state:       engineState{Role: options.Role, Models: options.Models, Incarnation: incarnation},
+		state:       initialState(options, incarnation),
 	}
 }
 
@@ -158,7 +166,7 @@
 	if stream, found := engine.streams[id]; found {
 		return stream, nil
 	}
-	if engine.state.Changing || !slices.Contains(engine.state.Models, request.Model) {
+	if !engine.serves(time.Now(), request.Model) {
 		return nil, fmt.Errorf("engine %s does not serve model %q now", engine.options.Name, request.Model)
 	}
 	stream := newEngineStream(id, request, priority)
--- a/io/lwtstandin/engine_http.go
+++ b/io/lwtstandin/engine_http.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"lacewingtide/core/lwtorder"
 	"lacewingtide/core/lwtstate"
 )
 
@@ -29,11 +30,16 @@
 	Changing bool  `json:"changing"`
 	Fencing  int64 `json:"fencing"`
 	Sequence int64 `json:"sequence"`
+	// Running counts the streams that run or wait.
+	Running int              `json:"running"`
+	Content lwtorder.Content `json:"content"`
 }
 
 // Serve answers calls on a listener until it is closed.
 func (engine *Engine) Serve(listener net.Listener) error {
-	server := &fasthttp.Server{Handler: engine.handle, NoDefaultServerHeader: true}
+	server := &fasthttp.Server{
+		Handler: engine.handle, NoDefaultServerHeader: true, HeaderReceived: engine.startOrderTimer,
+	}
 	return server.Serve(listener)
 }
 
@@ -48,16 +54,17 @@
 		writeJSON(ctx, engine.load())
 	case path == "/v1/state":
 		engine.handleState(ctx)
+	case path == ordersPath:
+		engine.handleOrder(ctx)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
 }
 
 func (engine *Engine) handleState(ctx *fasthttp.RequestCtx) {
-	engine.mutex.Lock()
-	state := engine.state
-	engine.mutex.Unlock()
-	writeJSON(ctx, state)
+	engine.gate.RLock()
+	defer engine.gate.RUnlock()
+	writeJSON(ctx, engine.currentState(time.Now()))
 }
 
 func (engine *Engine) handleCompletion(ctx *fasthttp.RequestCtx) {
