--- a/io/lwtdaemon/daemon.go
+++ b/io/lwtdaemon/daemon.go
@@ -59,6 +59,7 @@
 	observer  *observer
 	operator  *lwtoperator.Server
 	status    *lwtoperator.Status
+	authority *authority
 }
 
 // New returns a daemon that serves on open listeners.
@@ -82,6 +83,7 @@
 	daemon.observer = newObserver(settings.Name, daemon.declared, metrics.Scope())
 	daemon.limiter = newLimiter(daemon.declared, settings.Name)
 	daemon.claims = newClaims(daemon.platform, settings.Name, daemon.logger)
+	daemon.authority = newAuthority(daemon.runName(), daemon.declared, daemon.platform, daemon.engines, daemon.logger)
 	daemon.entry = lwtentry.New(lwtentry.Dependencies{
 		Declared:         daemon.declared,
 		Router:           daemon.router,
@@ -103,6 +105,7 @@
 	supervisor := suture.New("daemon "+daemon.settings.Name, suture.Spec{EventHook: daemon.supervised})
 	supervisor.Add(daemon.declared)
 	supervisor.Add(daemon.claims)
+	supervisor.Add(daemon.authority)
 	supervisor.Add(serverPart{"entry", func() error { return daemon.entry.Serve(daemon.listeners.Entry) }})
 	supervisor.Add(serverPart{"operator", func() error { return daemon.operator.Serve(daemon.listeners.Operator) }})
 	lwtlog.Info(daemon.logger, "daemon-started", "entry-address", daemon.listeners.Entry.Addr(),
@@ -111,6 +114,7 @@
 	defer stop()
 	ended := supervisor.ServeBackground(parts)
 	<-ctx.Done()
+	daemon.authority.Shutdown()
 	err := daemon.entry.Shutdown()
 	daemon.claims.Drain(claimDrain)
 	err = errors.Join(err, daemon.operator.Shutdown(parts))
