Add commands for tickets, status and checks, and examples

Cause: nobody could submit or inspect a ticket, and settings reported the faults of a file in part. Change: ticket submit, show and list, status, check for tickets; settings report all faults with key path and line; examples of both deployments with first tickets, which a test checks. Sizes of memory are bounded, because their sum could overflow and pass the memory check (found while writing the fuzz target). Conclusion: histories of concurrent tickets are to be checked next.

--- a/core/lwtdocument/document.go
+++ b/core/lwtdocument/document.go
@@ -62,6 +62,8 @@
 type Document struct {
 	lines  map[string]int
 	faulty map[string]bool
+	// readable says that the document is valid TOML.
+	readable bool
 }
 
 // Line returns the line of a key path, or of the closest table that contains
@@ -76,6 +78,10 @@
 	return 0
 }
 
+// Readable reports whether the document is valid TOML. Of one that is not,
+// nothing is decoded.
+func (document Document) Readable() bool { return document.readable }
+
 // Has reports whether a key path is in the document.
 func (document Document) Has(key string) bool {
 	_, found := document.lines[key]
@@ -104,6 +110,7 @@
 	if err := toml.Unmarshal(content, &values); err != nil {
 		return document, []Problem{describe(err)}
 	}
+	document.readable = true
 	checker := checker{document: document}
 	valid, _ := checker.table("", values, reflect.TypeOf(target).Elem())
 	encoded, err := toml.Marshal(valid)
--- a/core/lwtticket/check.go
+++ b/core/lwtticket/check.go
@@ -17,7 +17,7 @@
 // The whole resulting state is checked, not only the objects of the ticket: a
 // removal can break an object that the ticket does not name.
 func Check(state lwtstate.State, ticket Ticket) []lwtdocument.Problem {
-	if len(ticket.form) > 0 && len(ticket.Objects()) == 0 {
+	if len(ticket.form) > 0 && !ticket.document.Readable() {
 		return lwtdocument.Sorted(ticket.form)
 	}
 	checker := newChecker(state, ticket)
--- a/core/lwtticket/check_engine.go
+++ b/core/lwtticket/check_engine.go
@@ -12,6 +12,15 @@
 // before an order to an engine that ignores fencing numbers.
 const maxOrderReadTimeout = 5 * time.Second
 
+// maxMemoryBlocks keeps sums of declared sizes far from overflow. It stands for
+// 34 billion tokens, more than any engine holds.
+const maxMemoryBlocks = 1 << 24
+
+func (checker *checker) memory(path string, blocks int) {
+	checker.require(blocks > 0, path+".memory-blocks", "must be above 0")
+	checker.require(blocks <= maxMemoryBlocks, path+".memory-blocks", "must be at most %d", maxMemoryBlocks)
+}
+
 var roles = []lwtstate.Role{lwtstate.RolePrefill, lwtstate.RoleDecode, lwtstate.RoleMixed}
 
 func (checker *checker) engines() {
@@ -71,7 +80,7 @@
 }
 
 func (checker *checker) engineMemory(path string, engine lwtstate.Engine) {
-	checker.require(engine.MemoryBlocks > 0, path+".memory-blocks", "must be above 0")
+	checker.memory(path, engine.MemoryBlocks)
 	checker.require(len(engine.Models) > 0, path+".models", "must name at least one model")
 	checker.references(path+".models", lwtstate.KindModel, engine.Models)
 	checker.references(path+".adapters", lwtstate.KindAdapter, engine.Adapters)
@@ -97,7 +106,7 @@
 		model := checker.next.Models[name]
 		path := checker.path(lwtstate.KindModel, name)
 		checker.require(model.Version != "", path+".version", "is missing")
-		checker.require(model.MemoryBlocks > 0, path+".memory-blocks", "must be above 0")
+		checker.memory(path, model.MemoryBlocks)
 		checker.serving(path, name)
 	}
 }
@@ -129,7 +138,7 @@
 		adapter := checker.next.Adapters[name]
 		path := checker.path(lwtstate.KindAdapter, name)
 		checker.require(adapter.Version != "", path+".version", "is missing")
-		checker.require(adapter.MemoryBlocks > 0, path+".memory-blocks", "must be above 0")
+		checker.memory(path, adapter.MemoryBlocks)
 		_, found := checker.next.Models[adapter.Model]
 		checker.require(found, path+".model", "no model %q is declared", adapter.Model)
 	}
--- /dev/null
+++ b/examples/example_test.go
@@ -0,0 +1,41 @@
+// Package examples_test checks the example files of this directory.
+package examples_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"lacewingtide/core/lwtdocument"
+	"lacewingtide/core/lwtstate"
+	"lacewingtide/core/lwtticket"
+	"lacewingtide/io/lwtsetting"
+)
+
+// TestExamplesAreValid guards against examples that fall behind the formats.
+func TestExamplesAreValid(t *testing.T) {
+	paths, err := filepath.Glob("*.toml")
+	if err != nil || len(paths) != 4 {
+		t.Fatalf("files %v, error %v", paths, err)
+	}
+	for _, path := range paths {
+		content, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !strings.HasSuffix(path, "-ticket.toml") {
+			if _, err := lwtsetting.Parse(content); err != nil {
+				t.Errorf("%s: %v", path, err)
+			}
+			continue
+		}
+		ticket, _ := lwtticket.Parse(content)
+		if err := lwtdocument.Join(lwtticket.Check(lwtstate.New(), ticket)); err != nil {
+			t.Errorf("%s: %v", path, err)
+		}
+		if len(ticket.Engines) != 12 || len(ticket.Services[0].BackendServers) != 3 {
+			t.Errorf("%s: %d engines and %d shop order servers", path, len(ticket.Engines), len(ticket.Services[0].BackendServers))
+		}
+	}
+}
--- /dev/null
+++ b/io/lwtcommand/check.go
@@ -0,0 +1,95 @@
+package lwtcommand
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"lacewingtide/core/lwtdocument"
+	"lacewingtide/core/lwtstate"
+	"lacewingtide/core/lwtticket"
+	"lacewingtide/io/lwtsetting"
+)
+
+const checkHelp = "Checks a settings file, or a ticket against a declared state, and prints all problems. Nothing is changed and " +
+	"no daemon is asked. Without --state, a ticket is checked against the empty state, as the first ticket is.\n\n" +
+	"Exit codes: 0 valid, 1 problems found or a file can't be read, 2 wrong usage."
+
+type checkCommand struct {
+	Settings string `long:"settings" value-name:"FILE" description:"settings file to check (TOML)"`
+	Ticket   string `long:"ticket" value-name:"FILE" description:"ticket to check (TOML)"`
+	State    string `long:"state" value-name:"FILE" description:"declared state to check the ticket against (JSON), as printed by 'lacewingtide status --declared-state'"`
+	JSON     bool   `long:"json" description:"print the problems as JSON"`
+	streams  streams
+}
+
+// Execute implements flags.Commander.
+func (command *checkCommand) Execute([]string) error {
+	switch {
+	case (command.Settings == "") == (command.Ticket == ""):
+		return usage("give either --settings FILE or --ticket FILE")
+	case command.State != "" && command.Ticket == "":
+		return usage("--state needs --ticket FILE")
+	case command.Settings != "":
+		content, err := os.ReadFile(command.Settings)
+		if err != nil {
+			return err
+		}
+		_, problems := lwtsetting.Check(content)
+		return command.report(command.Settings, problems)
+	}
+	return command.checkTicket()
+}
+
+func (command *checkCommand) checkTicket() error {
+	content, err := os.ReadFile(command.Ticket)
+	if err != nil {
+		return err
+	}
+	state, err := command.state()
+	if err != nil {
+		return err
+	}
+	ticket, _ := lwtticket.Parse(content)
+	problems := lwtticket.Check(state, ticket)
+	if conflict, found := lwtticket.Conflicts(state, ticket); found {
+		problems = append(problems, lwtdocument.Problem{Key: string(conflict.Object), Message: conflict.Error()})
+	}
+	return command.report(command.Ticket, problems)
+}
+
+func (command *checkCommand) state() (lwtstate.State, error) {
+	state := lwtstate.New()
+	if command.State == "" {
+		return state, nil
+	}
+	content, err := os.ReadFile(command.State)
+	if err != nil {
+		return state, err
+	}
+	if err := json.Unmarshal(content, &state); err != nil {
+		return state, fmt.Errorf("decode declared state %s: %w", command.State, err)
+	}
+	return state.Indexed(), nil
+}
+
+func (command *checkCommand) report(file string, problems []lwtdocument.Problem) error {
+	if command.JSON {
+		if problems == nil {
+			problems = []lwtdocument.Problem{}
+		}
+		if err := command.streams.printJSON(struct {
+			Valid    bool                  `json:"valid"`
+			Problems []lwtdocument.Problem `json:"problems"`
+		}{len(problems) == 0, problems}); err != nil {
+			return err
+		}
+	}
+	if err := lwtdocument.Join(problems); err != nil {
+		return fmt.Errorf("%s is not valid:\n%w", file, err)
+	}
+	if !command.JSON {
+		command.streams.print(command.streams.out, file+" is valid")
+	}
+	return nil
+}
--- a/io/lwtcommand/command.go
+++ b/io/lwtcommand/command.go
@@ -28,6 +28,7 @@
 	parser := flags.NewNamedParser("lacewingtide", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = "Lacewingtide serves model requests for a fixed fleet of engines.\n\n" +
 		"Exit codes: 0 done, 1 refused or failed, 2 wrong usage."
+	parser.CommandHandler = execute
 	for _, command := range commands(streams) {
 		if _, err := parser.AddCommand(command.name, command.short, command.long, command.data); err != nil {
 			return streams.fail(err)
@@ -37,6 +38,17 @@
 	return streams.exit(err)
 }
 
+// execute runs a command. Words that no argument takes are wrong usage.
+func execute(command flags.Commander, rest []string) error {
+	if command == nil {
+		return nil
+	}
+	if len(rest) > 0 {
+		return usage("unexpected argument " + rest[0])
+	}
+	return command.Execute(rest)
+}
+
 type command struct {
 	name, short, long string
 	data              any
@@ -45,7 +57,9 @@
 func commands(streams streams) []command {
 	return []command{
 		{"serve", "run an entry daemon", "Runs one entry daemon until SIGINT or SIGTERM.", &serveCommand{streams: streams}},
-		{"check", "check a settings file", "Checks a settings file and prints all problems.", &checkCommand{streams: streams}},
+		{"check", "check a settings file or a ticket", checkHelp, &checkCommand{streams: streams}},
+		{"ticket", "submit, show or list tickets", "Changes the declared state and shows how it was changed.", newTicketCommand(streams)},
+		{"status", "show the status of a daemon", statusHelp, &statusCommand{streams: streams}},
 		{"stand-in", "run a stand-in", "Runs a stand-in for a system outside lacewingtide.", &standInCommand{streams: streams}},
 	}
 }
--- a/io/lwtcommand/serve.go
+++ b/io/lwtcommand/serve.go
@@ -29,17 +29,3 @@
 	defer stop()
 	return lwtdaemon.New(settings, listeners, lwtlog.New(command.streams.err, settings.LogLevel)).Run(ctx)
 }
-
-type checkCommand struct {
-	Settings string `long:"settings" required:"true" description:"settings file (TOML)"`
-	streams  streams
-}
-
-// Execute implements flags.Commander.
-func (command *checkCommand) Execute([]string) error {
-	if _, err := lwtsetting.Load(command.Settings); err != nil {
-		return err
-	}
-	command.streams.print(command.streams.out, "settings are valid")
-	return nil
-}
--- a/io/lwtsetting/setting.go
+++ b/io/lwtsetting/setting.go
@@ -2,16 +2,11 @@
 package lwtsetting
 
 import (
-	"bytes"
-	"errors"
 	"fmt"
-	"net/netip"
 	"os"
-	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
+	"lacewingtide/core/lwtdocument"
 	"lacewingtide/core/lwtstate"
 )
 
@@ -57,6 +52,9 @@
 	defaultPlatformTimeout = 2 * time.Second
 	defaultMinDwell        = time.Minute
 	minKeyLength           = 16
+	// maxPlatformTimeout is half of a lease of 10 s, less the check before an
+	// order.
+	maxPlatformTimeout = 4 * time.Second
 )
 
 // Default returns the settings that hold where a file says nothing.
@@ -77,52 +75,24 @@
 	return Parse(content)
 }
 
-// Parse decodes and checks settings. The error joins all problems found.
+// Parse decodes and checks settings. The error joins all problems found, each
+// with its key path and line.
 func Parse(content []byte) (Settings, error) {
-	settings := Default()
-	decoder := toml.NewDecoder(bytes.NewReader(content)).DisallowUnknownFields()
-	if err := decoder.Decode(&settings); err != nil {
-		return Settings{}, fmt.Errorf("settings: %s", describe(err))
-	}
-	if problems := settings.problems(); len(problems) > 0 {
-		return Settings{}, errors.Join(problems...)
+	settings, problems := Check(content)
+	if err := lwtdocument.Join(problems); err != nil {
+		return Settings{}, err
 	}
 	return settings, nil
 }
 
-func describe(err error) string {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) {
-		lines := make([]string, 0, len(strict.Errors))
-		for i := range strict.Errors {
-			row, _ := strict.Errors[i].Position()
-			lines = append(lines, fmt.Sprintf("line %d: unknown key %s", row, strings.Join(strict.Errors[i].Key(), ".")))
-		}
-		return strings.Join(lines, "; ")
-	}
-	return err.Error()
-}
-
-func (settings Settings) problems() []error {
-	var problems []error
-	check := func(ok bool, key, message string) {
-		if !ok {
-			problems = append(problems, fmt.Errorf("%s: %s", key, message))
-		}
+// Check decodes settings and returns all their problems.
+func Check(content []byte) (Settings, []lwtdocument.Problem) {
+	settings := Default()
+	document, problems := lwtdocument.Decode(content, &settings)
+	if !document.Readable() {
+		return settings, problems
 	}
-	check(settings.Name != "", "name", "is missing")
-	check(settings.AvailabilityZone != "", "availability-zone", "is missing")
-	check(isAddress(settings.EntryAddress), "entry-address", "must be IP:port")
-	check(isAddress(settings.PeerAddress), "peer-address", "must be IP:port")
-	check(isAddress(settings.OperatorAddress), "operator-address", "must be IP:port")
-	check(isAddress(settings.Platform.Address), "platform.address", "must be IP:port")
-	check(settings.Platform.Timeout > 0, "platform.timeout", "must be above 0")
-	check(len(settings.PeerKey) >= minKeyLength, "peer-key", fmt.Sprintf("must have at least %d characters", minKeyLength))
-	check(settings.Planner.RoleChangeCost >= 0, "planner.role-change-cost", "must not be negative")
-	return problems
-}
-
-func isAddress(text string) bool {
-	address, err := netip.ParseAddrPort(text)
-	return err == nil && address.IsValid()
+	checker := checker{document: document, problems: problems}
+	checker.settings(settings)
+	return settings, lwtdocument.Sorted(checker.problems)
 }
