--- /dev/null
+++ b/core/lwtticket/script_test.go
@@ -0,0 +1,174 @@
+package lwtticket_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"lacewingtide/core/lwtstate"
+	"lacewingtide/core/lwtticket"
+)
+
+var update = flag.Bool("update", false, "write the transcripts of the scripts")
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// TestScripts guards against two operators who overwrite each other, against
+// tickets that take effect twice, and against wrong news of a ticket after the
+// store fails. Each script steps submissions against a store; the transcript
+// adds each command and its answer.
+func TestScripts(t *testing.T) {
+	paths, err := filepath.Glob("testdata/submit/*.txtar")
+	if err != nil || len(paths) == 0 {
+		t.Fatal("no scripts", err)
+	}
+	for _, path := range paths {
+		t.Run(strings.TrimSuffix(filepath.Base(path), ".txtar"), func(t *testing.T) {
+			archive, err := txtar.ParseFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			script := script{store: newStore(), operators: map[string]*operator{}, held: lwtstate.New()}
+			got := script.run(t, string(archive.Files[0].Data))
+			if *update {
+				archive.Files[0].Data = []byte(got)
+				if err := os.WriteFile(path, txtar.Format(archive), 0o644); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if want := string(archive.Files[0].Data); got != want {
+				t.Errorf("got:\n%s\nwant:\n%s", got, want)
+			}
+		})
+	}
+}
+
+type script struct {
+	store     *store
+	operators map[string]*operator
+	held      lwtstate.State
+	now       time.Duration
+	out       strings.Builder
+}
+
+func (script *script) run(t *testing.T, text string) string {
+	t.Helper()
+	for line := range strings.Lines(text) {
+		if strings.HasPrefix(line, " ") {
+			continue
+		}
+		script.out.WriteString(line)
+		words := strings.Fields(line)
+		if err := script.event(words[0], words[1:]); err != nil {
+			t.Fatalf("line %q: %v", line, err)
+		}
+	}
+	return script.out.String()
+}
+
+// event carries out one line: an operator's action or a change of the store.
+func (script *script) event(verb string, args []string) error {
+	now := epoch.Add(script.now)
+	switch verb {
+	case "at":
+		after, err := time.ParseDuration(args[0])
+		script.now = after
+		return err
+	case "store":
+		script.store.down, script.store.mute = args[0] == "down", args[0] == "mute"
+	case "hold":
+		script.held = script.store.state()
+	case "arrive":
+		script.store.arrive()
+		script.print("head %d", script.store.head.Number)
+	case "submit":
+		return script.submit(now, args)
+	case "give-up":
+		script.operators[args[0]].giveUp(now, script.store)
+		script.print("next %s", describe(script.operators[args[0]].next))
+	case "step":
+		script.step(now, args[0])
+	case "finish":
+		for script.operators[args[0]].result == nil {
+			script.step(now, args[0])
+			script.now += waitOf(script.operators[args[0]].next)
+			now = epoch.Add(script.now)
+		}
+	default:
+		return fmt.Errorf("unknown verb")
+	}
+	return nil
+}
+
+// submit reads NAME base=N OBJECT... with an optional id=WRITE-ID.
+func (script *script) submit(now time.Time, args []string) error {
+	request := lwtticket.Request{WriteID: args[0], Operator: args[0], Deadline: now.Add(10 * time.Second)}
+	var base int64
+	var names []string
+	for _, arg := range args[1:] {
+		key, value, found := strings.Cut(arg, "=")
+		switch {
+		case found && key == "id":
+			request.WriteID = value
+		case found:
+			var err error
+			if base, err = strconv.ParseInt(value, 10, 64); err != nil {
+				return err
+			}
+		default:
+			names = append(names, arg)
+		}
+	}
+	request.Ticket = modelTicket(base, names...)
+	script.operators[args[0]] = newOperator(now, request, script.held)
+	return nil
+}
+
+func (script *script) step(now time.Time, name string) {
+	operator := script.operators[name]
+	cmd := operator.next
+	operator.step(now, script.store)
+	script.print("%s: %s -> %s", name, describe(cmd), describe(operator.next))
+}
+
+func (script *script) print(format string, args ...any) {
+	fmt.Fprintf(&script.out, "  "+format+"\n", args...)
+}
+
+func waitOf(cmd lwtticket.Cmd) time.Duration {
+	if wait, found := cmd.(lwtticket.Wait); found {
+		return wait.For
+	}
+	return 0
+}
+
+func describe(cmd lwtticket.Cmd) string {
+	switch cmd := cmd.(type) {
+	case lwtticket.ReadHead:
+		return "read head"
+	case lwtticket.ReadWrite:
+		return "read write id"
+	case lwtticket.LoadState:
+		return fmt.Sprintf("load %d to %d", cmd.From.Number, cmd.Head.Number)
+	case lwtticket.StoreSnapshot:
+		return "store snapshot"
+	case lwtticket.Commit:
+		return fmt.Sprintf("commit %d snapshot %d", cmd.Head.Number, cmd.Head.Snapshot.Number)
+	case lwtticket.Wait:
+		return fmt.Sprintf("wait %s", cmd.For)
+	case lwtticket.Done:
+		text := fmt.Sprintf("%s %d", cmd.Result.Outcome, cmd.Result.Number)
+		if conflict := cmd.Result.Conflict; conflict != nil {
+			return text + fmt.Sprintf(" conflict object=%s ticket=%d", conflict.Object, conflict.Ticket)
+		}
+		return strings.TrimSpace(text + " " + cmd.Result.Reason)
+	}
+	return fmt.Sprintf("unknown command %T", cmd)
+}
--- /dev/null
+++ b/core/lwtticket/store_test.go
@@ -0,0 +1,170 @@
+package lwtticket_test
+
+import (
+	"fmt"
+	"time"
+
+	"lacewingtide/core/lwtstate"
+	"lacewingtide/core/lwtticket"
+)
+
+// store is the platform's table in the tests' own time. Its transactions are
+// serializable; it fails on demand.
+type store struct {
+	version     int64
+	head        lwtticket.Head
+	headVersion int64
+	records     map[int64]lwtticket.Record
+	writes      map[string]lwtticket.Write
+	objects     map[string][]byte
+	// down makes every command fail without being sent; mute lets commands
+	// take effect without an answer.
+	down, mute bool
+	// delayed are commits whose sender gave up before they arrived.
+	delayed []lwtticket.Commit
+}
+
+func newStore() *store {
+	return &store{
+		records: map[int64]lwtticket.Record{}, writes: map[string]lwtticket.Write{}, objects: map[string][]byte{},
+	}
+}
+
+// carryOut executes a command and returns its answer.
+func (store *store) carryOut(cmd lwtticket.Cmd) lwtticket.Msg {
+	if wait, found := cmd.(lwtticket.Wait); found {
+		_ = wait
+		return lwtticket.Waited{}
+	}
+	if _, found := cmd.(lwtticket.StoreSnapshot); found && store.down {
+		return lwtticket.SnapshotStored{}
+	}
+	if store.down {
+		return lwtticket.Failed{NotSent: true}
+	}
+	answer := store.apply(cmd)
+	if store.mute {
+		return lwtticket.Failed{}
+	}
+	return answer
+}
+
+func (store *store) apply(cmd lwtticket.Cmd) lwtticket.Msg {
+	switch cmd := cmd.(type) {
+	case lwtticket.ReadHead:
+		return lwtticket.HeadRead{Version: store.headVersion, Head: store.head}
+	case lwtticket.ReadWrite:
+		return lwtticket.WriteRead{Write: store.write(cmd.WriteID)}
+	case lwtticket.LoadState:
+		return store.load(cmd)
+	case lwtticket.StoreSnapshot:
+		store.objects[cmd.Object.Hash] = cmd.Object.Content
+		return lwtticket.SnapshotStored{Stored: true}
+	case lwtticket.Commit:
+		return store.commit(cmd)
+	}
+	panic(fmt.Sprintf("unknown command %T", cmd))
+}
+
+func (store *store) write(id string) *lwtticket.Write {
+	write, found := store.writes[id]
+	if !found {
+		return nil
+	}
+	return &write
+}
+
+func (store *store) load(cmd lwtticket.LoadState) lwtticket.Msg {
+	state, reads := cmd.From, cmd.Head.ReadsFrom(cmd.From.Number)
+	if reads.Snapshot != nil {
+		decoded, err := lwtticket.Decode(lwtticket.Object{Hash: reads.Snapshot.Hash, Content: store.objects[reads.Snapshot.Hash]})
+		if err != nil {
+			return lwtticket.Failed{NotSent: true}
+		}
+		state = decoded
+	}
+	for _, number := range reads.Tickets {
+		state = state.WithChange(store.records[number].Change)
+	}
+	return lwtticket.StateLoaded{State: state}
+}
+
+func (store *store) commit(cmd lwtticket.Commit) lwtticket.Msg {
+	if write := store.write(cmd.Record.WriteID); write != nil || cmd.HeadVersion != store.headVersion {
+		return lwtticket.Answered{Version: store.headVersion, Head: store.head, Write: write}
+	}
+	store.version++
+	store.head, store.headVersion = cmd.Head, store.version
+	store.records[cmd.Head.Number] = cmd.Record
+	store.writes[cmd.Record.WriteID] = cmd.Write
+	return lwtticket.Answered{Committed: true}
+}
+
+// state returns the declared state that all accepted tickets lead to.
+func (store *store) state() lwtstate.State {
+	state := lwtstate.New()
+	for number := int64(1); number <= store.head.Number; number++ {
+		state = state.WithChange(store.records[number].Change)
+	}
+	return state
+}
+
+// operator runs one submission step by step.
+type operator struct {
+	submission lwtticket.Submission
+	next       lwtticket.Cmd
+	result     *lwtticket.Result
+}
+
+func newOperator(now time.Time, request lwtticket.Request, held lwtstate.State) *operator {
+	operator := &operator{submission: lwtticket.NewSubmission(request, held)}
+	operator.take(now, lwtticket.Started{})
+	return operator
+}
+
+func (operator *operator) take(now time.Time, msg lwtticket.Msg) {
+	var cmds []lwtticket.Cmd
+	operator.submission, cmds = operator.submission.Update(now, msg)
+	operator.next = cmds[0]
+	if done, found := cmds[0].(lwtticket.Done); found {
+		operator.result = &done.Result
+	}
+}
+
+// step executes the next command. It returns false when the submission ended.
+func (operator *operator) step(now time.Time, store *store) bool {
+	if operator.result == nil {
+		operator.take(now, store.carryOut(operator.next))
+	}
+	return operator.result == nil
+}
+
+// giveUp lets the next command, a commit, arrive at the store later, after its
+// sender counted it as lost.
+func (operator *operator) giveUp(now time.Time, store *store) {
+	commit, isCommit := operator.next.(lwtticket.Commit)
+	if isCommit {
+		store.delayed = append(store.delayed, commit)
+	}
+	operator.take(now, lwtticket.Failed{NotSent: !isCommit})
+}
+
+// arrive delivers the delayed commits.
+func (store *store) arrive() {
+	for _, commit := range store.delayed {
+		store.commit(commit)
+	}
+	store.delayed = nil
+}
+
+// modelTicket is a ticket that replaces services, named by the given letters.
+func modelTicket(base int64, names ...string) lwtticket.Ticket {
+	ticket := lwtticket.Ticket{Base: base}
+	for _, name := range names {
+		ticket.Services = append(ticket.Services, lwtstate.Service{
+			Name: name, Timeout: lwtstate.Duration(time.Second),
+			BackendServers: []lwtstate.BackendServer{{Address: "127.0.0.1:9101", AvailabilityZone: "z1"}},
+		})
+	}
+	return ticket
+}
--- a/core/lwtticket/submission.go
+++ b/core/lwtticket/submission.go
@@ -263,6 +263,6 @@
 		return submission.done(Result{Outcome: Unknown, Reason: "the store gave no answer"})
 	}
 	return submission.done(Result{
-		Outcome: Refused, Unavailable: true, Reason: "the store is not available; the ticket was not sent to it",
+		Outcome: Refused, Unavailable: true, Reason: "the store is not available; this attempt did not reach it",
 	})
 }
