--- a/io/lwtcommand/serve.go
+++ b/io/lwtcommand/serve.go
@@ -33,17 +33,3 @@
 	}
 	return daemon.Run(ctx)
 }
-
-type checkCommand struct {
-	Settings string `long:"settings" required:"true" description:"settings file (TOML)"`
-	streams  streams
-}
-
-// Execute implements flags.Commander.
-func (command *checkCommand) Execute([]string) error {
-	if _, err := lwtsetting.Load(command.Settings); err != nil {
-		return err
-	}
-	command.streams.print(command.streams.out, "settings are valid")
-	return nil
-}
--- a/io/lwtdaemon/daemon.go
+++ b/io/lwtdaemon/daemon.go
@@ -81,6 +81,8 @@
 	daemon.operator, daemon.status = newOperator(settings, daemon.declared, daemon.logger)
 	daemon.router = newRouter(daemon.declared)
 	daemon.observer = newObserver(settings.Name, daemon.declared, metrics.Scope())
+	daemon.operator.HandleBurn(daemon.observer.Snapshot)
+	daemon.operator.Handle("GET", "/metrics", metrics.Handle)
 	daemon.limiter = newLimiter(daemon.declared, settings.Name)
 	daemon.claims = newClaims(daemon.platform, settings.Name, daemon.logger)
 	daemon.authority = newAuthority(daemon.runName(), daemon.declared, daemon.platform, daemon.engines, daemon.logger)
--- a/io/lwtoperator/burn.go
+++ b/io/lwtoperator/burn.go
@@ -16,8 +16,8 @@
 
 // BurnAnswer is a daemon's part of the burn report.
 type BurnAnswer struct {
-	Snapshot   lwtburn.Snapshot                        `json:"snapshot"`
-	Number     int64                                   `json:"number"`
+	Snapshot   lwtburn.Snapshot                      `json:"snapshot"`
+	Number     int64                                 `json:"number"`
 	Objectives map[lwtstate.Class]lwtstate.Objective `json:"objectives"`
 }
 
