Connect the membership to the daemon and leave gracefully

Cause: a daemon named only its own address, and its shutdown reset connections in the kernel's queue and restarted its closed server. Change: a membership part, an address part and a shutdown that leaves the answers, releases, serves for the drain time, empties the queue of new connections and finishes streams. Conclusion: daemons find each other and name each other's addresses.

--- a/core/lwtmember/model.go
+++ b/core/lwtmember/model.go
@@ -11,6 +11,10 @@
 // have gone back since the daemon before it started.
 const joinTime = 30 * time.Second
 
+// urgentMembers is the number of members that a daemon tells at once that it
+// leaves, or that a claim about it is wrong.
+const urgentMembers = 6
+
 // Model is the membership as one daemon sees it. It is immutable: Update
 // returns the next Model.
 type Model struct {
@@ -168,10 +172,8 @@
 
 // announce sends the news at once to a few members.
 func (step *step) announce() {
-	for range step.options.GossipFanout + step.options.Indirect {
-		if address, found := step.randomLive(""); found {
-			step.send(address, KindDigest, Gossip{})
-		}
+	for _, address := range step.someLive(urgentMembers) {
+		step.send(address, KindDigest, Gossip{})
 	}
 }
 
@@ -182,10 +184,8 @@
 	step.self.Status = Leaving
 	step.queue = step.queue.with(step.self)
 	step.changed = step.now
-	for range step.options.GossipFanout + step.options.Indirect {
-		if address, found := step.randomLive(""); found {
-			step.send(address, KindLeave, Gossip{})
-		}
+	for _, address := range step.someLive(urgentMembers) {
+		step.send(address, KindLeave, Gossip{})
 	}
 }
 
--- a/core/lwtmember/probe.go
+++ b/core/lwtmember/probe.go
@@ -90,6 +90,12 @@
 	return order
 }
 
+// someLive returns random live members, at most most.
+func (step *step) someLive(most int) []string {
+	live := step.shuffledLive()
+	return live[:min(most, len(live))]
+}
+
 // randomLive returns a random live member other than one address.
 func (step *step) randomLive(except string) (string, bool) {
 	const tries = 8
--- a/io/lwtdaemon/daemon.go
+++ b/io/lwtdaemon/daemon.go
@@ -15,6 +15,7 @@
 	"lacewingtide/io/lwtentry"
 	"lacewingtide/io/lwtlog"
 	"lacewingtide/io/lwtmetric"
+	"lacewingtide/io/lwtpeer"
 	"lacewingtide/io/lwtplatform"
 	"lacewingtide/io/lwtsetting"
 )
@@ -56,6 +57,9 @@
 	engines   *lwtengine.Client
 	metrics   *lwtmetric.Metrics
 	observer  *observer
+	peers     *lwtpeer.Network
+	members   *members
+	releasers []Releaser
 }
 
 // New returns a daemon that serves on open listeners.
@@ -78,11 +82,12 @@
 	daemon.observer = newObserver(settings.Name, daemon.declared, metrics.Scope())
 	daemon.limiter = newLimiter(daemon.declared, settings.Name)
 	daemon.claims = newClaims(daemon.platform, settings.Name, daemon.logger)
+	daemon.peers, daemon.members = newMembers(settings, listeners, daemon.platform, daemon.logger)
 	daemon.entry = lwtentry.New(lwtentry.Dependencies{
 		Declared:         daemon.declared,
 		Router:           daemon.router,
 		Limiter:          daemon.limiter,
-		Addresses:        ownAddress{settings.EntryAddress},
+		Addresses:        newAddresses(daemon.members, settings),
 		Observer:         daemon.observer,
 		Services:         newForwarder(daemon.claims, settings.AvailabilityZone, daemon.logger),
 		Engines:          daemon.engines,
@@ -99,14 +104,17 @@
 	supervisor := suture.New("daemon "+daemon.settings.Name, suture.Spec{EventHook: daemon.supervised})
 	supervisor.Add(daemon.declared)
 	supervisor.Add(daemon.claims)
-	supervisor.Add(serverPart{"entry", func() error { return daemon.entry.Serve(daemon.listeners.Entry) }})
+	entry := drainListener(daemon.listeners.Entry)
+	supervisor.Add(serverPart{"entry", func() error { return daemon.entry.Serve(entry) }})
+	supervisor.Add(daemon.members)
+	supervisor.Add(serverPart{"peers", func() error { return daemon.peers.Serve(daemon.listeners.Peer) }})
 	lwtlog.Info(daemon.logger, "daemon-started", "entry-address", daemon.listeners.Entry.Addr(),
 		"availability-zone", daemon.settings.AvailabilityZone)
 	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	ended := supervisor.ServeBackground(parts)
 	<-ctx.Done()
-	err := daemon.entry.Shutdown()
+	err := daemon.shutdown(parts, entry)
 	daemon.claims.Drain(claimDrain)
 	stop()
 	if ended := <-ended; !errors.Is(ended, context.Canceled) {
@@ -136,6 +144,10 @@
 	go func() { failed <- part.serve() }()
 	select {
 	case err := <-failed:
+		if err == nil {
+			// The server was shut down.
+			return suture.ErrDoNotRestart
+		}
 		return err
 	case <-ctx.Done():
 		return ctx.Err()
--- a/io/lwtentry/server.go
+++ b/io/lwtentry/server.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -106,13 +107,14 @@
 	ids          *idSource
 	retries      *retries
 	http         *fasthttp.Server
+	draining     atomic.Bool
 }
 
 // New returns a server.
 func New(dependencies Dependencies) *Server {
 	server := &Server{dependencies: dependencies, ids: newIDSource(dependencies.Name), retries: newRetries()}
 	server.http = &fasthttp.Server{
-		Handler:               server.handle,
+		Handler:               server.answer,
 		ErrorHandler:          handleProtocolError,
 		MaxRequestBodySize:    maxBodyBytes,
 		ReadBufferSize:        maxHeaderBytes,
@@ -137,6 +139,15 @@
 	return server.http.Shutdown()
 }
 
+// answer handles a request. Handlers may replace the whole answer, so that the
+// connection's end is set last.
+func (server *Server) answer(ctx *fasthttp.RequestCtx) {
+	server.handle(ctx)
+	if server.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
 func (server *Server) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	if path == "/healthz" {
@@ -170,8 +181,8 @@
 	addresses, keep := server.dependencies.Addresses.Answer(time.Now(), caller.Name)
 	writeJSON(ctx, struct {
 		Addresses   []string `json:"entry-addresses"`
-		KeepSeconds int      `json:"keep-seconds"`
-	}{addresses, int(keep / time.Second)})
+		KeepSeconds float64  `json:"keep-seconds"`
+	}{addresses, keep.Seconds()})
 }
 
 func (server *Server) handleService(
--- a/io/lwtloop/loop.go
+++ b/io/lwtloop/loop.go
@@ -40,6 +40,16 @@
 	}
 }
 
+// Offer queues a message unless the queue is full, and reports whether it did.
+func (loop *Loop[M, Msg, Cmd]) Offer(msg Msg) bool {
+	select {
+	case loop.messages <- msg:
+		return true
+	default:
+		return false
+	}
+}
+
 // Model returns the current model.
 func (loop *Loop[M, Msg, Cmd]) Model() M {
 	loop.mutex.RLock()
--- a/io/lwtsetting/setting.go
+++ b/io/lwtsetting/setting.go
@@ -12,6 +12,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"lacewingtide/core/lwtaddress"
 	"lacewingtide/core/lwtstate"
 )
 
@@ -35,6 +36,16 @@
 	LogLevel          string   `toml:"log-level"`
 	Platform          Platform `toml:"platform"`
 	Planner           Planner  `toml:"planner"`
+	Addresses         Address  `toml:"addresses"`
+}
+
+// Address sets how long callers and a leaving daemon rely on entry addresses.
+type Address struct {
+	// Keep is the time for which callers may keep an answer.
+	Keep lwtstate.Duration `toml:"keep"`
+	// Drain is the time for which a leaving daemon goes on serving. It must
+	// exceed Keep by the time that the news of leaving takes.
+	Drain lwtstate.Duration `toml:"drain"`
 }
 
 // Platform says where the platform's services are.
@@ -65,6 +76,10 @@
 		LogLevel: "info",
 		Platform: Platform{Timeout: lwtstate.Duration(defaultPlatformTimeout)},
 		Planner:  Planner{RoleChangeCost: 1, MinDwell: lwtstate.Duration(defaultMinDwell)},
+		Addresses: Address{
+			Keep:  lwtstate.Duration(lwtaddress.Keep),
+			Drain: lwtstate.Duration(lwtaddress.Drain(lwtaddress.Keep)),
+		},
 	}
 }
 
@@ -118,6 +133,9 @@
 	check(isAddress(settings.Platform.Address), "platform.address", "must be IP:port")
 	check(settings.Platform.Timeout > 0, "platform.timeout", "must be above 0")
 	check(len(settings.PeerKey) >= minKeyLength, "peer-key", fmt.Sprintf("must have at least %d characters", minKeyLength))
+	check(settings.Addresses.Keep > 0, "addresses.keep", "must be above 0")
+	check(settings.Addresses.Drain >= lwtstate.Duration(lwtaddress.Drain(settings.Addresses.Keep.Std())),
+		"addresses.drain", "must be at least 2s above addresses.keep")
 	check(settings.Planner.RoleChangeCost >= 0, "planner.role-change-cost", "must not be negative")
 	return problems
 }
