--- a/io/lwtdaemon/authority.go
+++ b/io/lwtdaemon/authority.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -23,9 +22,9 @@
 	storeCallsAtOnce  = 16
 	engineCallsAtOnce = 16
 	authorityQueue    = 1024
-	// releaseTimeout bounds the wait at shutdown. A lease that is not released
+	// leaseReleaseTimeout bounds the wait at shutdown. A lease that is not released
 	// ends by itself.
-	releaseTimeout = 4 * time.Second
+	leaseReleaseTimeout = 4 * time.Second
 )
 
 // authority owns the leases and the orders of all engine groups as this daemon
@@ -85,12 +84,6 @@
 	return pool
 }
 
-// runName identifies this run of the daemon: a successor at the same address
-// must not take its predecessor's leases for its own.
-func (daemon *Daemon) runName() string {
-	return fmt.Sprintf("%s/%d", daemon.settings.Name, time.Now().UnixNano())
-}
-
 // Serve implements suture.Service.
 func (authority *authority) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(lwtlease.TickInterval)
--- a/io/lwtdaemon/daemon.go
+++ b/io/lwtdaemon/daemon.go
@@ -16,6 +16,7 @@
 	"lacewingtide/io/lwtlog"
 	"lacewingtide/io/lwtmetric"
 	"lacewingtide/io/lwtoperator"
+	"lacewingtide/io/lwtpeer"
 	"lacewingtide/io/lwtplatform"
 	"lacewingtide/io/lwtsetting"
 )
@@ -60,6 +61,10 @@
 	operator  *lwtoperator.Server
 	status    *lwtoperator.Status
 	authority *authority
+	peers     *lwtpeer.Network
+	members   *members
+	releasers []Releaser
+	join      *join
 }
 
 // New returns a daemon that serves on open listeners.
@@ -85,12 +90,15 @@
 	daemon.operator.Handle("GET", "/metrics", metrics.Handle)
 	daemon.limiter = newLimiter(daemon.declared, settings.Name)
 	daemon.claims = newClaims(daemon.platform, settings.Name, daemon.logger)
-	daemon.authority = newAuthority(daemon.runName(), daemon.declared, daemon.platform, daemon.engines, daemon.logger)
+	daemon.peers, daemon.members = newMembers(settings, listeners, daemon.platform, daemon.logger)
+	daemon.authority = newAuthority(runName(daemon.members.Model().Self()), daemon.declared, daemon.platform,
+		daemon.engines, daemon.logger)
+	daemon.join = newJoin(daemon)
 	daemon.entry = lwtentry.New(lwtentry.Dependencies{
 		Declared:         daemon.declared,
 		Router:           daemon.router,
 		Limiter:          daemon.limiter,
-		Addresses:        ownAddress{settings.EntryAddress},
+		Addresses:        newAddresses(daemon.members, settings),
 		Observer:         daemon.observer,
 		Services:         newForwarder(daemon.claims, settings.AvailabilityZone, daemon.logger),
 		Engines:          daemon.engines,
@@ -108,16 +116,21 @@
 	supervisor.Add(daemon.declared)
 	supervisor.Add(daemon.claims)
 	supervisor.Add(daemon.authority)
-	supervisor.Add(serverPart{"entry", func() error { return daemon.entry.Serve(daemon.listeners.Entry) }})
 	supervisor.Add(serverPart{"operator", func() error { return daemon.operator.Serve(daemon.listeners.Operator) }})
+	entry := drainListener(daemon.listeners.Entry)
+	supervisor.Add(serverPart{"entry", func() error { return daemon.entry.Serve(entry) }})
+	supervisor.Add(daemon.members)
+	supervisor.Add(daemon.join)
+	supervisor.Add(serverPart{"peers", func() error { return daemon.peers.Serve(daemon.listeners.Peer) }})
 	lwtlog.Info(daemon.logger, "daemon-started", "entry-address", daemon.listeners.Entry.Addr(),
 		"availability-zone", daemon.settings.AvailabilityZone)
 	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	daemon.declared.connect(parts, daemon.peers)
+	daemon.members.OnNumber(func(number int64, from string) { daemon.declared.PeerNumber(parts, from, number) })
 	ended := supervisor.ServeBackground(parts)
 	<-ctx.Done()
-	daemon.authority.Shutdown()
-	err := daemon.entry.Shutdown()
+	err := daemon.shutdown(parts, entry)
 	daemon.claims.Drain(claimDrain)
 	err = errors.Join(err, daemon.operator.Shutdown(parts))
 	stop()
@@ -148,6 +161,10 @@
 	go func() { failed <- part.serve() }()
 	select {
 	case err := <-failed:
+		if err == nil {
+			// The server was shut down.
+			return suture.ErrDoNotRestart
+		}
 		return err
 	case <-ctx.Done():
 		return ctx.Err()
