--- a/io/lwtdaemon/declared_test.go
+++ b/io/lwtdaemon/declared_test.go
@@ -41,6 +41,15 @@
 	return busPeers{bus, name}
 }
 
+// disconnect stops all messages.
+func (bus *bus) disconnect() {
+	bus.mutex.Lock()
+	defer bus.mutex.Unlock()
+	for _, handles := range bus.handles {
+		clear(handles)
+	}
+}
+
 func (peers busPeers) Members() []string {
 	peers.bus.mutex.RLock()
 	defer peers.bus.mutex.RUnlock()
@@ -114,7 +123,7 @@
 // await waits until every part has a number in force.
 func (group *group) await(t testing.TB, number int64) {
 	t.Helper()
-	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(2 * time.Millisecond) {
+	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
 		behind := slices.IndexFunc(group.parts, func(part *declared) bool {
 			state, _ := part.State()
 			return state.Number < number
