--- a/io/lwtdaemon/declared_bench_test.go
+++ b/io/lwtdaemon/declared_bench_test.go
@@ -23,7 +23,7 @@
 	})
 }
 
-func benchmarkInForce(b *testing.B, group *group, lost bool) {
+func benchmarkInForce(b *testing.B, group *declaredGroup, lost bool) {
 	var times []time.Duration
 	number := int64(0)
 	for b.Loop() {
@@ -70,7 +70,7 @@
 
 func groupInterval(size int) time.Duration { return time.Duration(size) * 25 * time.Millisecond }
 
-func measureLoad(b *testing.B, group *group, name string, span, interval time.Duration) {
+func measureLoad(b *testing.B, group *declaredGroup, name string, span, interval time.Duration) {
 	writes, reads := group.platform.Table().Counts()
 	began := time.Now()
 	state, _ := group.parts[0].State()
