--- /dev/null
+++ b/core/lwtadmission/admission.go
@@ -0,0 +1,127 @@
+package lwtadmission
+
+import (
+	"time"
+
+	"lacewingtide/core/lwtstate"
+)
+
+// Request is what admission needs to know of a request.
+type Request struct {
+	Class lwtstate.Class
+	// Waited is the time since the request arrived, as before a second attempt.
+	Waited time.Duration
+}
+
+// Estimate is what a request is estimated to meet on the engine chosen for it.
+type Estimate struct {
+	FirstToken    time.Duration
+	Whole         time.Duration
+	BetweenTokens time.Duration
+}
+
+// Verdict is the decision on a request. A nil Rejection admits it.
+type Verdict struct {
+	Rejection *Rejection
+}
+
+// Policy bounds what is admitted.
+type Policy struct {
+	Objectives map[lwtstate.Class]lwtstate.Objective
+	// BetweenTokens bounds the estimated time between tokens.
+	BetweenTokens time.Duration
+}
+
+// Bounds of the margin, which is the share of a deadline that an estimate may
+// use. It falls when admitted requests are late and recovers slowly, so that
+// errors of the estimates show as rejections and not as late answers.
+const (
+	marginStart = 0.85
+	marginLeast = 0.4
+	marginMost  = 0.95
+	marginFall  = 0.01
+	// marginRise is 1/50 of marginFall: the margin settles where about 2 in
+	// 100 answers are late.
+	marginRise = marginFall / 50
+	// leastRetry keeps callers from retrying within one load report.
+	leastRetry = 250 * time.Millisecond
+)
+
+// Admission admits or rejects requests for one daemon. It is changed in place
+// by its owner and is not safe for concurrent use.
+type Admission struct {
+	policy  Policy
+	margins map[lwtstate.Class]*float64
+}
+
+// New returns an admission for a policy.
+func New(policy Policy) *Admission {
+	return &Admission{policy: policy, margins: map[lwtstate.Class]*float64{}}
+}
+
+// WithPolicy replaces the policy and keeps what was learned.
+func (admission *Admission) WithPolicy(policy Policy) *Admission {
+	admission.policy = policy
+	return admission
+}
+
+// WithResult learns whether an admitted request was answered on time.
+func (admission *Admission) WithResult(class lwtstate.Class, onTime bool) *Admission {
+	margin := admission.margin(class)
+	if onTime {
+		*margin = min(marginMost, *margin+marginRise)
+	} else {
+		*margin = max(marginLeast, *margin-marginFall)
+	}
+	return admission
+}
+
+// Decide admits a request whose estimate meets its deadlines, and otherwise
+// rejects it at once. A class without an objective is always admitted.
+func (admission *Admission) Decide(_ time.Time, request Request, estimate Estimate) Verdict {
+	objective, found := admission.policy.Objectives[request.Class]
+	if !found {
+		return Verdict{}
+	}
+	if limit := admission.policy.BetweenTokens; limit > 0 && estimate.BetweenTokens > limit {
+		return rejected("capacity", capacityRetry(estimate, limit))
+	}
+	margin := *admission.margin(request.Class)
+	if excess := exceeds(objective.FirstToken, margin, request.Waited+estimate.FirstToken); excess > 0 {
+		return rejected("deadline", excess)
+	}
+	if excess := exceeds(objective.Whole, margin, request.Waited+estimate.Whole); excess > 0 {
+		return rejected("deadline", excess)
+	}
+	return Verdict{}
+}
+
+func (admission *Admission) margin(class lwtstate.Class) *float64 {
+	margin, found := admission.margins[class]
+	if !found {
+		margin = new(float64)
+		*margin = marginStart
+		admission.margins[class] = margin
+	}
+	return margin
+}
+
+// exceeds returns by how much a time exceeds the share of a deadline. A
+// deadline of 0 is none.
+func exceeds(deadline lwtstate.Duration, margin float64, estimate time.Duration) time.Duration {
+	if deadline <= 0 {
+		return 0
+	}
+	return estimate - time.Duration(margin*float64(deadline))
+}
+
+// capacityRetry is the time after which enough of the streams have ended, if
+// their ends are spread evenly over the time of an answer.
+func capacityRetry(estimate Estimate, limit time.Duration) time.Duration {
+	share := 1 - limit.Seconds()/estimate.BetweenTokens.Seconds()
+	return time.Duration(share * float64(estimate.Whole))
+}
+
+func rejected(reason string, retryAfter time.Duration) Verdict {
+	return Verdict{Rejection: &Rejection{Reason: reason, RetryAfter: max(leastRetry, retryAfter)}}
+}
--- /dev/null
+++ b/core/lwtadmission/length.go
@@ -0,0 +1,34 @@
+package lwtadmission
+
+import "lacewingtide/core/lwtstate"
+
+// lengthWeight is the weight of the last answer in the mean length of its class.
+const lengthWeight = 0.01
+
+// Lengths learns how long the answers of each class are. Callers' limits say
+// little: most answers end long before them.
+type Lengths struct {
+	means map[lwtstate.Class]float64
+}
+
+// NewLengths returns lengths that know nothing yet.
+func NewLengths() *Lengths { return &Lengths{means: map[lwtstate.Class]float64{}} }
+
+// WithAnswer learns the length of an answer in tokens.
+func (lengths *Lengths) WithAnswer(class lwtstate.Class, tokens int) *Lengths {
+	mean, found := lengths.means[class]
+	if !found {
+		mean = float64(tokens)
+	}
+	lengths.means[class] = mean + lengthWeight*(float64(tokens)-mean)
+	return lengths
+}
+
+// Expected returns the expected length of an answer of at most limit tokens.
+func (lengths *Lengths) Expected(class lwtstate.Class, limit int) int {
+	mean, found := lengths.means[class]
+	if !found {
+		return limit
+	}
+	return max(1, min(limit, int(mean)))
+}
--- /dev/null
+++ b/core/lwtmix/daemon.go
@@ -0,0 +1,99 @@
+package lwtmix
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"lacewingtide/core/lwtadmission"
+	"lacewingtide/core/lwtplanner"
+	"lacewingtide/core/lwtrouter"
+	"lacewingtide/core/lwtstate"
+)
+
+// meterSpan is the span of the demand that the planner goes by.
+const meterSpan = 15 * time.Second
+
+// daemon is one entry daemon with its own lagging view.
+type daemon struct {
+	index     int
+	down      bool
+	router    *lwtrouter.Router
+	admission *lwtadmission.Admission
+	lengths   *lwtadmission.Lengths
+	meter     lwtplanner.Meter
+	// digest is the demand that the other daemons last heard of.
+	digest lwtplanner.Demand
+	// outstanding counts requests per engine, for the simple placements.
+	outstanding map[*engine]int
+	next        int
+	// read is the last cache event read of each engine.
+	read map[*engine]cacheCursor
+}
+
+type cacheCursor struct {
+	incarnation int64
+	sequence    int64
+}
+
+func newDaemon(index int, state lwtstate.State, policy Policy, random *rand.Rand) *daemon {
+	view := lwtrouter.NewView("d"+string(rune('1'+index)), lwtrouter.DefaultRates()).WithState(state)
+	return &daemon{
+		index:  index,
+		router: lwtrouter.New(view, policy.Rule, random),
+		admission: lwtadmission.New(lwtadmission.Policy{
+			Objectives: state.Objectives, BetweenTokens: lwtrouter.DefaultBetweenTokens,
+		}),
+		lengths:     lwtadmission.NewLengths(),
+		meter:       lwtplanner.NewMeter(meterSpan),
+		outstanding: map[*engine]int{},
+		read:        map[*engine]cacheCursor{},
+	}
+}
+
+// place chooses engines for a request and records it as sent. It returns a
+// rejection when the request is not admitted.
+func (daemon *daemon) place(now time.Time, j *job) *lwtadmission.Rejection {
+	choice, err := daemon.router.Pick(now, j.request)
+	if err != nil {
+		return &lwtadmission.Rejection{Reason: "no_engine", RetryAfter: time.Second}
+	}
+	if j.attempts == 0 {
+		daemon.meter = daemon.meter.WithRequest(now,
+			float64(j.request.PromptTokens-choice.CachedTokens), float64(j.request.OutputTokens))
+	}
+	verdict := daemon.admission.Decide(now, lwtadmission.Request{
+		Class: j.request.Class, Waited: time.Duration(now.UnixNano() - j.arrival.At),
+	}, lwtadmission.Estimate{
+		FirstToken: choice.FirstToken, Whole: choice.Whole, BetweenTokens: choice.BetweenTokens,
+	})
+	// A request that began to run is not given up when its engine is lost.
+	if verdict.Rejection != nil && j.starts == 0 {
+		return verdict.Rejection
+	}
+	j.choice = choice
+	daemon.router.View().WithSent(now, j.request, choice)
+	return nil
+}
+
+// count places by counting alone.
+func (daemon *daemon) count(rule Simple, engines []*engine, able func(*engine) bool) *engine {
+	if rule == RoundRobin {
+		for range engines {
+			daemon.next++
+			if candidate := engines[daemon.next%len(engines)]; able(candidate) {
+				return candidate
+			}
+		}
+		return nil
+	}
+	var best *engine
+	for i := range engines {
+		// Daemons start at different engines, so that ties do not all go to one.
+		candidate := engines[(i+daemon.next)%len(engines)]
+		if able(candidate) && (best == nil || daemon.outstanding[candidate] < daemon.outstanding[best]) {
+			best = candidate
+		}
+	}
+	daemon.next++
+	return best
+}
--- /dev/null
+++ b/core/lwtmix/deployment.go
@@ -0,0 +1,188 @@
+package lwtmix
+
+import (
+	"fmt"
+	"time"
+
+	"lacewingtide/core/lwtplanner"
+	"lacewingtide/core/lwtrouter"
+	"lacewingtide/core/lwtstate"
+)
+
+const (
+	model       = "assistant"
+	engineCount = 12
+	groupSize   = 4
+	daemonCount = 4
+	blockTokens = lwtrouter.BlockTokens
+)
+
+// Deployment is a fleet and its workload.
+type Deployment struct {
+	Name string
+	// Zones are the availability zones.
+	Zones []string
+	// Fixed are the roles of the engines in order, as declared. The policies
+	// with fixed roles keep them.
+	Fixed      []lwtstate.Role
+	Objectives []lwtstate.Objective
+	// ChangeCost is the deployment's setting of the planner.
+	ChangeCost float64
+	classes    []classLoad
+}
+
+// classLoad is one kind of request of a workload.
+type classLoad struct {
+	class lwtstate.Class
+	// share is the share of the requests at either end of the swing.
+	low, high float64
+	// prompt and output are mean lengths in tokens.
+	prompt, output int
+	// prefixBlocks are the leading blocks that come from a pool of prefixes.
+	prefixBlocks int
+	prefixPool   int
+}
+
+// roles returns the given numbers of engines by role.
+func roles(prefill, decode, mixed int) []lwtstate.Role {
+	var result []lwtstate.Role
+	for i := 0; i < prefill+decode+mixed; i++ {
+		switch {
+		case i < prefill:
+			result = append(result, lwtstate.RolePrefill)
+		case i < prefill+decode:
+			result = append(result, lwtstate.RoleDecode)
+		default:
+			result = append(result, lwtstate.RoleMixed)
+		}
+	}
+	return result
+}
+
+func objective(class lwtstate.Class, first, whole time.Duration) lwtstate.Objective {
+	const target = 0.95
+	return lwtstate.Objective{
+		Class: class, FirstToken: lwtstate.Duration(first), Whole: lwtstate.Duration(whole), Target: target,
+	}
+}
+
+// Cristalier checks part lists against a catalogue beside the shop chat. The
+// part lists are long prompts with short answers, so its mix swings towards
+// prefill. It weighs goodput above role changes.
+func Cristalier() Deployment {
+	return Deployment{
+		Name:  "cristalier",
+		Zones: []string{"ro-central-1", "ro-central-2", "ro-central-3"},
+		Fixed: roles(5, 7, 0),
+		Objectives: []lwtstate.Objective{
+			objective(lwtstate.ClassChat, 610*time.Millisecond, 20*time.Second),
+			objective(lwtstate.ClassMatch, 3*time.Second, 8*time.Second),
+			objective(lwtstate.ClassLookup, 400*time.Millisecond, 2*time.Second),
+			objective(lwtstate.ClassOrder, 610*time.Millisecond, 4*time.Second),
+		},
+		ChangeCost: 20,
+		classes: []classLoad{
+			{class: lwtstate.ClassChat, low: 0.85, high: 0.40, prompt: 500, output: 300},
+			{
+				class: lwtstate.ClassMatch, low: 0.05, high: 0.50, prompt: 5100, output: 50,
+				prefixBlocks: 2, prefixPool: 60,
+			},
+			{class: lwtstate.ClassLookup, low: 0.08, high: 0.08, prompt: 200, output: 20},
+			{class: lwtstate.ClassOrder, low: 0.02, high: 0.02, prompt: 300, output: 60},
+		},
+	}
+}
+
+// Himalchhat serves chat and long planting plans in the evening, so its mix
+// swings towards decode. It weighs role changes above goodput.
+func Himalchhat() Deployment {
+	return Deployment{
+		Name:  "himalchhat",
+		Zones: []string{"bagmati-1", "bagmati-2", "bagmati-3"},
+		Fixed: roles(4, 8, 0),
+		Objectives: []lwtstate.Objective{
+			objective(lwtstate.ClassChat, 610*time.Millisecond, 20*time.Second),
+			objective(lwtstate.ClassPlan, 3*time.Second, 90*time.Second),
+			objective(lwtstate.ClassLookup, 400*time.Millisecond, 2*time.Second),
+			objective(lwtstate.ClassOrder, 610*time.Millisecond, 4*time.Second),
+		},
+		ChangeCost: 200,
+		classes: []classLoad{
+			{
+				class: lwtstate.ClassChat, low: 0.87, high: 0.65, prompt: 2500, output: 200,
+				prefixBlocks: 1, prefixPool: 300,
+			},
+			{
+				class: lwtstate.ClassPlan, low: 0.03, high: 0.25, prompt: 1500, output: 1100,
+			},
+			{class: lwtstate.ClassLookup, low: 0.08, high: 0.08, prompt: 200, output: 20},
+			{class: lwtstate.ClassOrder, low: 0.02, high: 0.02, prompt: 300, output: 60},
+		},
+	}
+}
+
+// Find returns the deployment of a name.
+func Find(name string) (Deployment, error) {
+	for _, deployment := range []Deployment{Cristalier(), Himalchhat()} {
+		if deployment.Name == name {
+			return deployment, nil
+		}
+	}
+	return Deployment{}, fmt.Errorf("no deployment %q: use cristalier or himalchhat", name)
+}
+
+// State returns the declared state of the fleet.
+func (deployment Deployment) State() lwtstate.State {
+	all := []lwtstate.Role{lwtstate.RolePrefill, lwtstate.RoleDecode, lwtstate.RoleMixed}
+	change := lwtstate.Change{
+		Number: 1, Models: []lwtstate.Model{{Name: model, Version: "1"}}, Objectives: deployment.Objectives,
+	}
+	for i, role := range deployment.Fixed {
+		change.Engines = append(change.Engines, lwtstate.Engine{
+			Name: fmt.Sprintf("e%02d", i+1), AvailabilityZone: deployment.Zones[i%len(deployment.Zones)],
+			Group: fmt.Sprintf("g%d", i/groupSize+1), Role: role, PlannerRoles: all,
+			Models: []string{model}, MemoryBlocks: memoryBlocks,
+		})
+	}
+	return lwtstate.New().WithChange(change)
+}
+
+// MeanDemand returns the demand of one request per second at the middle of
+// the swing, without prefix caches.
+func (deployment Deployment) MeanDemand() lwtplanner.Demand {
+	return deployment.demand(0.5)
+}
+
+func (deployment Deployment) demand(swing float64) lwtplanner.Demand {
+	demand := lwtplanner.Demand{Requests: 1}
+	for _, load := range deployment.classes {
+		share := load.low + (load.high-load.low)*swing
+		demand.PrefillTokens += share * float64(load.prompt)
+		demand.DecodeTokens += share * float64(load.output)
+	}
+	return demand
+}
+
+// Rate returns the capacity of the fleet in requests per second: what the best
+// fixed roles serve at the middle of the swing, without prefix caches.
+func (deployment Deployment) Rate() float64 {
+	_, rate := deployment.BestFixed()
+	return rate
+}
+
+// BestFixed returns the roles that serve the middle of the swing best, and
+// their capacity in requests per second.
+func (deployment Deployment) BestFixed() (lwtplanner.Counts, float64) {
+	speeds := lwtplanner.NewSpeeds(lwtrouter.DefaultRates())
+	var best lwtplanner.Counts
+	most := 0.0
+	for prefill := 0; prefill <= engineCount; prefill++ {
+		for decode := 0; prefill+decode <= engineCount; decode++ {
+			counts := lwtplanner.Counts{Prefill: prefill, Decode: decode, Mixed: engineCount - prefill - decode}
+			if rate := lwtplanner.Capacity(counts, deployment.MeanDemand(), speeds); rate > most {
+				best, most = counts, rate
+			}
+		}
+	}
+	return best, most
+}
--- /dev/null
+++ b/core/lwtmix/policy.go
@@ -0,0 +1,64 @@
+package lwtmix
+
+import (
+	"time"
+
+	"lacewingtide/core/lwtplanner"
+	"lacewingtide/core/lwtrouter"
+)
+
+// Policy is a way to place requests and to set roles.
+type Policy struct {
+	Name string
+	// Simple places by counting alone and admits everything. It is empty for
+	// the policies that use lwtrouter and lwtadmission.
+	Simple Simple
+	Rule   lwtrouter.Rule
+	// Planner is used unless NoPlanner is set.
+	Planner   lwtplanner.Policy
+	NoPlanner bool
+	// Clairvoyant gives all daemons one view without lag, the true lengths of
+	// the answers, and role changes that take no time and follow the arrivals
+	// of the near future.
+	Clairvoyant bool
+}
+
+// Simple names a placement by counting.
+type Simple string
+
+// The placements by counting.
+const (
+	RoundRobin       Simple = "round-robin"
+	LeastOutstanding Simple = "least-outstanding"
+)
+
+// Times of the engines and of the spread of information in the model.
+const (
+	// changeTime is the time for which a change of role takes an engine away.
+	changeTime = 5 * time.Second
+	// reportInterval is the time between two load snapshots of an engine.
+	reportInterval = 200 * time.Millisecond
+	// answerDelay is the time from a request to the report that comes back.
+	answerDelay = 2 * time.Millisecond
+	// idlePoll is the time after which a daemon polls an engine.
+	idlePoll = time.Second
+	// spreadDelay is the time until all daemons know a wanted role.
+	spreadDelay = 500 * time.Millisecond
+	// planInterval is the time between two plans of a group.
+	planInterval = time.Second
+	// gapShare is the share of reads of cache events that miss events.
+	gapShare = 0.02
+	// downTime is the time for which a daemon avoids an engine that refused a
+	// connection.
+	downTime = time.Second
+)
+
+// Policies returns the policies that are compared for a deployment.
+func Policies(deployment Deployment) []Policy {
+	return []Policy{
+		{Name: "round-robin", Simple: RoundRobin, NoPlanner: true},
+		{Name: "least-outstanding", Simple: LeastOutstanding, NoPlanner: true},
+		{Name: "lacewingtide", Planner: lwtplanner.DefaultPolicy(deployment.ChangeCost)},
+		{Name: "clairvoyant", Rule: lwtrouter.RuleLeastWork, NoPlanner: true, Clairvoyant: true},
+	}
+}
--- /dev/null
+++ b/core/lwtmix/roles.go
@@ -0,0 +1,202 @@
+package lwtmix
+
+import (
+	"time"
+
+	"lacewingtide/core/lwtplanner"
+	"lacewingtide/core/lwtrouter"
+	"lacewingtide/core/lwtstate"
+)
+
+// startPlanner runs the planner of each group, staggered over the interval so
+// that the groups see each other's changes.
+func (run *run) startPlanner() {
+	if run.policy.Clairvoyant {
+		run.every(0, int64(foreseeInterval), run.foresee)
+		return
+	}
+	if run.policy.NoPlanner {
+		return
+	}
+	run.every(0, int64(planInterval), run.exchangeDemand)
+	const groups = engineCount / groupSize
+	for group := range groups {
+		run.every(int64(planInterval)*int64(group)/groups, int64(planInterval), func(now int64) { run.plan(now, group) })
+	}
+}
+
+// exchangeDemand tells each daemon's demand to the others.
+func (run *run) exchangeDemand(now int64) {
+	for _, daemon := range run.daemons {
+		daemon.digest = lwtplanner.Demand{}
+		if !daemon.down {
+			daemon.digest = daemon.meter.Demand(at(now))
+		}
+	}
+}
+
+func (run *run) plan(now int64, group int) {
+	holder := run.daemons[group%daemonCount]
+	if holder.down {
+		holder = run.daemons[(group+1)%daemonCount]
+	}
+	view := lwtplanner.View{Speeds: lwtplanner.NewSpeeds(lwtrouter.DefaultRates())}
+	for _, daemon := range run.daemons {
+		view.Demand = view.Demand.Plus(daemon.digest)
+	}
+	for i, status := range holder.router.View().Statuses(at(now)) {
+		view.Engines = append(view.Engines, lwtplanner.Engine{
+			Name: status.Name, Role: status.Role, Allowed: lwtplanner.Allowed(status.Declared),
+			Group: i/groupSize == group, InService: status.Available, Changing: status.Changing,
+			Running: status.Running, ReportedAt: status.ReportedAt, ChangedAt: run.changedAt[status.Name],
+		})
+	}
+	for _, change := range lwtplanner.Plan(at(now), view, run.policy.Planner) {
+		run.want(now, run.byName[change.Engine], change.Role)
+	}
+}
+
+// Times of the clairvoyant policy.
+const (
+	foreseeInterval = 2 * time.Second
+	foreseeAhead    = 10 * time.Second
+)
+
+// foresee sets the best roles for the arrivals of the near future at once,
+// without drain: running streams move to other engines at no cost.
+func (run *run) foresee(now int64) {
+	demand := run.coming(now)
+	if demand.Requests == 0 {
+		return
+	}
+	var current lwtplanner.Counts
+	total := 0
+	for _, engine := range run.engines {
+		if !engine.down && !engine.declared.Draining {
+			total++
+			*current.Of(engine.role)++
+		}
+	}
+	wanted := bestCounts(demand, total)
+	for _, from := range []lwtstate.Role{lwtstate.RolePrefill, lwtstate.RoleDecode, lwtstate.RoleMixed} {
+		for *current.Of(from) > *wanted.Of(from) {
+			to := lwtstate.RoleMixed
+			for _, role := range []lwtstate.Role{lwtstate.RolePrefill, lwtstate.RoleDecode, lwtstate.RoleMixed} {
+				if *current.Of(role) < *wanted.Of(role) {
+					to = role
+				}
+			}
+			run.convert(now, from, to)
+			*current.Of(from)--
+			*current.Of(to)++
+		}
+	}
+}
+
+// coming returns the demand per second of the arrivals of the near future,
+// less what the caches saved of the demand so far.
+func (run *run) coming(now int64) lwtplanner.Demand {
+	var demand lwtplanner.Demand
+	for i := run.firstAfter(now); i < len(run.arrivals) && run.arrivals[i].At < now+int64(foreseeAhead); i++ {
+		prefill := run.arrivals[i].Prompt
+		if len(run.arrivals[i].Prefixes) > 0 {
+			prefill -= int(cachedShare * float64(len(run.arrivals[i].Prefixes)*blockTokens))
+		}
+		demand = demand.Plus(lwtplanner.Demand{
+			Requests: 1, PrefillTokens: float64(prefill), DecodeTokens: float64(run.arrivals[i].Output),
+		})
+	}
+	return demand.Times(1 / foreseeAhead.Seconds())
+}
+
+// cachedShare is the share of cacheable blocks that the clairvoyant policy
+// expects to find.
+const cachedShare = 0.7
+
+func bestCounts(demand lwtplanner.Demand, total int) lwtplanner.Counts {
+	speeds := lwtplanner.NewSpeeds(lwtrouter.DefaultRates())
+	var best lwtplanner.Counts
+	most := -1.0
+	for prefill := 0; prefill <= total; prefill++ {
+		for decode := 0; prefill+decode <= total; decode++ {
+			counts := lwtplanner.Counts{Prefill: prefill, Decode: decode, Mixed: total - prefill - decode}
+			if capacity := lwtplanner.Capacity(counts, demand, speeds); capacity > most {
+				best, most = counts, capacity
+			}
+		}
+	}
+	return best
+}
+
+// convert changes the role of the engine with the fewest streams.
+func (run *run) convert(now int64, from, to lwtstate.Role) {
+	var chosen *engine
+	for _, engine := range run.engines {
+		if engine.role == from && !engine.down && !engine.declared.Draining &&
+			(chosen == nil || len(engine.running) < len(chosen.running)) {
+			chosen = engine
+		}
+	}
+	chosen.role = to
+	run.tally.changes++
+	if to == lwtstate.RolePrefill {
+		run.moveStreams(now, chosen)
+	}
+	if to == lwtstate.RoleDecode {
+		run.moveQueues(now, chosen)
+	}
+}
+
+func (run *run) moveStreams(now int64, from *engine) {
+	for _, moved := range from.running {
+		target := run.fewest(func(engine *engine) bool { return engine.role != lwtstate.RolePrefill })
+		from.memory -= moved.job.arrival.Prompt + moved.job.arrival.Output
+		target.memory += moved.job.arrival.Prompt + moved.job.arrival.Output
+		moved.job.decodeAt = target
+		target.running.add(stream{moved.job, moved.lastStep - from.steps + target.steps})
+		run.wake(now, target)
+	}
+	from.running = nil
+}
+
+func (run *run) moveQueues(now int64, from *engine) {
+	for priority := range from.queues {
+		for _, j := range from.queues[priority] {
+			target := run.fewest(func(engine *engine) bool { return engine.role != lwtstate.RoleDecode })
+			if j.decodeAt == from {
+				j.decodeAt = target
+				if target.role == lwtstate.RolePrefill {
+					j.decodeAt = from
+					from.inbound++
+				}
+			}
+			target.queues[priority] = append(target.queues[priority], j)
+			target.waiting[priority] += j.promptLeft
+			run.wake(now, target)
+		}
+		from.queues[priority], from.waiting[priority] = nil, 0
+	}
+}
+
+func (run *run) fewest(able func(*engine) bool) *engine {
+	var best *engine
+	for _, engine := range run.engines {
+		if !engine.down && able(engine) && (best == nil ||
+			len(engine.running)+engine.waitingRequests() < len(best.running)+best.waitingRequests()) {
+			best = engine
+		}
+	}
+	return best
+}
+
+func (run *run) firstAfter(now int64) int {
+	low, high := 0, len(run.arrivals)
+	for low < high {
+		if middle := (low + high) / 2; run.arrivals[middle].At < now {
+			low = middle + 1
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
--- /dev/null
+++ b/core/lwtmix/run.go
@@ -0,0 +1,254 @@
+// Package lwtmix measures goodput through mix shifts: models of engines in
+// virtual time are driven by the same routing, admission and planning code
+// that daemons run, through several daemons with lagging reports.
+package lwtmix
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"lacewingtide/core/lwtrouter"
+	"lacewingtide/core/lwtstate"
+)
+
+// Experiment is one comparison of policies on the same arrivals.
+type Experiment struct {
+	Deployment Deployment
+	Seed       uint64
+	// Load is a multiple of the fleet's capacity.
+	Load     float64
+	Duration time.Duration
+	// Quiet leaves out the drained engine, the crash and the lost entry VM.
+	Quiet bool
+}
+
+// DefaultDuration is the virtual time of one run.
+const DefaultDuration = 12 * time.Minute
+
+// tailTime is the virtual time after the last arrival for running answers.
+const tailTime = 2 * time.Minute
+
+const maxAttempts = 3
+
+// run is the run of one policy.
+type run struct {
+	time       timeline
+	experiment Experiment
+	policy     Policy
+	state      lwtstate.State
+	engines    []*engine
+	byName     map[string]*engine
+	daemons    []*daemon
+	arrivals   []Arrival
+	jobs       []job
+	random     *rand.Rand
+	end        int64
+	tally      tally
+	changedAt  map[string]time.Time
+}
+
+// Run runs one policy on arrivals and returns what became of them.
+func Run(experiment Experiment, policy Policy, arrivals []Arrival) Result {
+	run := newRun(experiment, policy, arrivals)
+	for i := range run.jobs {
+		j := &run.jobs[i]
+		run.time.add(j.arrival.At, func(now int64) { run.arrive(now, j) })
+	}
+	run.every(0, int64(reportInterval), run.takeSnapshots)
+	if policy.Simple == "" {
+		run.every(0, int64(idlePoll), run.poll)
+		run.startPlanner()
+	}
+	if !experiment.Quiet {
+		run.startFailures()
+	}
+	run.time.run(run.end + int64(tailTime))
+	return run.result()
+}
+
+func newRun(experiment Experiment, policy Policy, arrivals []Arrival) *run {
+	state := experiment.Deployment.State()
+	run := &run{
+		experiment: experiment, policy: policy, state: state, arrivals: arrivals, byName: map[string]*engine{},
+		random: rand.New(rand.NewPCG(experiment.Seed, 2)), end: int64(experiment.Duration), tally: newTally(),
+		jobs: make([]job, len(arrivals)), changedAt: map[string]time.Time{},
+	}
+	for _, name := range state.EnginesOf(model) {
+		engine := newEngine(state.Engines[name], lwtrouter.DefaultRates())
+		run.engines = append(run.engines, engine)
+		run.byName[name] = engine
+	}
+	for i := range daemonCount {
+		if policy.Clairvoyant && i > 0 {
+			run.daemons = append(run.daemons, run.daemons[0])
+			continue
+		}
+		random := rand.New(rand.NewPCG(experiment.Seed, uint64(10+i)))
+		run.daemons = append(run.daemons, newDaemon(i, state, policy, random))
+	}
+	for i := range arrivals {
+		run.jobs[i] = job{
+			arrival: &arrivals[i], daemon: arrivals[i].Daemon, priority: lwtrouter.Priority(arrivals[i].Class),
+		}
+	}
+	return run
+}
+
+func at(now int64) time.Time { return time.Unix(0, now) }
+
+// every repeats work from a start until the run ends.
+func (run *run) every(start, interval int64, work func(now int64)) {
+	var again func(now int64)
+	again = func(now int64) {
+		work(now)
+		if now+interval <= run.end+int64(tailTime) {
+			run.time.add(now+interval, again)
+		}
+	}
+	run.time.add(start, again)
+}
+
+func (run *run) arrive(now int64, j *job) {
+	for run.daemons[j.daemon].down {
+		j.daemon = (j.daemon + 1) % daemonCount
+	}
+	daemon := run.daemons[j.daemon]
+	output := j.arrival.Output
+	if !run.policy.Clairvoyant {
+		output = daemon.lengths.Expected(j.arrival.Class, defaultOutput)
+	}
+	j.request = lwtrouter.Request{
+		Model: model, Class: j.arrival.Class, PromptTokens: j.arrival.Prompt, OutputTokens: output,
+		Prefixes: j.arrival.Prefixes, AvailabilityZone: run.experiment.Deployment.Zones[j.daemon%len(run.experiment.Deployment.Zones)],
+	}
+	run.place(now, j)
+}
+
+// defaultOutput is the expected output before a class is known, in tokens.
+const defaultOutput = 256
+
+// place sends a request to the engines that the policy chooses.
+func (run *run) place(now int64, j *job) {
+	daemon := run.daemons[j.daemon]
+	for ; j.attempts < maxAttempts; j.attempts++ {
+		if !run.choose(now, daemon, j) {
+			break
+		}
+		if j.engine.enqueue(j) {
+			run.sent(now, daemon, j)
+			return
+		}
+		daemon.router.View().WithDown(j.engine.name, at(now).Add(downTime))
+	}
+	if j.starts > 0 {
+		j.cut = true
+		return
+	}
+	j.rejected = true
+}
+
+// choose sets the engines of a request; false when it is not admitted.
+func (run *run) choose(now int64, daemon *daemon, j *job) bool {
+	if run.policy.Simple != "" {
+		return run.chooseSimple(daemon, j)
+	}
+	if run.policy.Clairvoyant {
+		run.refresh(now, daemon)
+	}
+	if rejection := daemon.place(at(now), j); rejection != nil {
+		return false
+	}
+	j.engine = run.byName[j.choice.Engine]
+	j.decodeAt = j.engine
+	if j.choice.Split() {
+		j.decodeAt = run.byName[j.choice.DecodeEngine]
+	}
+	return true
+}
+
+func (run *run) chooseSimple(daemon *daemon, j *job) bool {
+	available := func(engine *engine) bool { return !engine.down && !engine.declared.Draining }
+	j.engine = daemon.count(run.policy.Simple, run.engines, func(engine *engine) bool {
+		return available(engine) && engine.role != lwtstate.RoleDecode
+	})
+	if j.engine == nil {
+		return false
+	}
+	j.decodeAt = j.engine
+	if j.engine.role == lwtstate.RolePrefill {
+		j.decodeAt = daemon.count(run.policy.Simple, run.engines, func(engine *engine) bool {
+			return available(engine) && engine.role != lwtstate.RolePrefill
+		})
+	}
+	return j.decodeAt != nil
+}
+
+func (run *run) sent(now int64, daemon *daemon, j *job) {
+	j.starts++
+	daemon.outstanding[j.engine]++
+	if j.decodeAt != j.engine {
+		j.decodeAt.inbound++
+		daemon.outstanding[j.decodeAt]++
+	}
+	run.wake(now, j.engine)
+	if run.policy.Simple == "" {
+		engine := j.engine
+		run.time.add(now+int64(answerDelay), func(int64) { run.deliver(daemon, engine) })
+	}
+}
+
+// deliver hands an engine's last snapshot to a daemon.
+func (run *run) deliver(daemon *daemon, engine *engine) {
+	if !daemon.down && !engine.down {
+		daemon.router.View().WithReport(engine.name, engine.report)
+	}
+}
+
+func (run *run) refresh(now int64, daemon *daemon) {
+	for _, engine := range run.engines {
+		if engine.down {
+			daemon.router.View().WithDown(engine.name, at(now+1))
+			continue
+		}
+		report := engine.snapshot()
+		report.TakenAt = at(now)
+		daemon.router.View().WithReport(engine.name, report)
+	}
+}
+
+func (run *run) takeSnapshots(now int64) {
+	for _, engine := range run.engines {
+		engine.report = engine.snapshot()
+		engine.report.TakenAt = at(now)
+	}
+}
+
+// poll reads load and cache events of all engines.
+func (run *run) poll(int64) {
+	for i, daemon := range run.daemons {
+		if daemon.index != i || daemon.down {
+			continue
+		}
+		for _, engine := range run.engines {
+			run.deliver(daemon, engine)
+			run.readCache(daemon, engine)
+		}
+	}
+}
+
+func (run *run) readCache(daemon *daemon, engine *engine) {
+	cursor := daemon.read[engine]
+	if cursor.incarnation != engine.incarnation {
+		cursor = cacheCursor{incarnation: engine.incarnation}
+	}
+	events := engine.cache.after(cursor.sequence)
+	if len(events) == 0 || engine.down {
+		return
+	}
+	cursor.sequence = events[len(events)-1].Sequence
+	daemon.read[engine] = cursor
+	if run.random.Float64() < gapShare {
+		events = events[len(events)/2:]
+	}
+	daemon.router.View().WithCacheEvents(engine.name, events)
+}
--- /dev/null
+++ b/core/lwtmix/step.go
@@ -0,0 +1,178 @@
+package lwtmix
+
+import (
+	"time"
+
+	"lacewingtide/core/lwtstate"
+)
+
+// wake starts a step unless one is in progress.
+func (run *run) wake(now int64, engine *engine) {
+	if engine.next != 0 || engine.down || engine.changing {
+		return
+	}
+	duration := engine.begin(now)
+	if duration == 0 {
+		run.idle(now, engine)
+		return
+	}
+	engine.stepTime, engine.next = duration, now+int64(duration)
+	incarnation := engine.incarnation
+	run.time.add(engine.next, func(now int64) {
+		if engine.incarnation == incarnation {
+			run.step(now, engine)
+		}
+	})
+}
+
+// step ends the step of an engine and starts the next.
+func (run *run) step(now int64, engine *engine) {
+	engine.next = 0
+	engine.steps++
+	run.tally.step(engine.stepTime, len(engine.running))
+	for _, j := range engine.fresh {
+		j.firstAt = now
+	}
+	engine.fresh = engine.fresh[:0]
+	for _, j := range engine.filled {
+		run.prefilled(now, engine, j)
+	}
+	engine.filled = engine.filled[:0]
+	for _, j := range engine.finished() {
+		run.done(now, j)
+	}
+	run.wake(now, engine)
+}
+
+func (run *run) prefilled(now int64, engine *engine, j *job) {
+	engine.cache.store(j.arrival.Prefixes)
+	if j.decodeAt == engine {
+		if j.firstAt == 0 {
+			j.firstAt = now
+		}
+		engine.ready = append(engine.ready, j)
+		return
+	}
+	daemon := run.daemons[j.daemon]
+	daemon.outstanding[engine]--
+	target, incarnation := j.decodeAt, j.decodeAt.incarnation
+	run.time.add(now+int64(engine.rates.Transfer(j.arrival.Prompt)), func(now int64) {
+		if target.incarnation != incarnation {
+			run.restart(now, j)
+			return
+		}
+		target.inbound--
+		target.ready = append(target.ready, j)
+		run.wake(now, target)
+	})
+}
+
+func (run *run) done(now int64, j *job) {
+	j.doneAt = now
+	daemon := run.daemons[j.daemon]
+	daemon.outstanding[j.decodeAt]--
+	daemon.lengths.WithAnswer(j.arrival.Class, j.arrival.Output)
+	daemon.admission.WithResult(j.arrival.Class, j.onTime())
+}
+
+// restart places a request again whose engine was lost. A request that must
+// not be repeated is cut instead.
+func (run *run) restart(now int64, j *job) {
+	if j.arrival.Class == lwtstate.ClassOrder {
+		j.cut = true
+		return
+	}
+	run.place(now, j)
+}
+
+// idle carries out a wanted change of role once the engine has no work.
+func (run *run) idle(now int64, engine *engine) {
+	if engine.target == "" || engine.busy() {
+		return
+	}
+	engine.changing = true
+	incarnation := engine.incarnation
+	run.time.add(now+int64(changeTime), func(now int64) {
+		engine.changing = false
+		if engine.incarnation == incarnation {
+			engine.role = engine.target
+		}
+		engine.target = ""
+		run.tellWanted(now, engine, false)
+		run.wake(now, engine)
+	})
+}
+
+// want orders a change of role: daemons stop sending work to the engine, and
+// the change follows once it has none.
+func (run *run) want(now int64, engine *engine, role lwtstate.Role) {
+	engine.target = role
+	run.tally.changes++
+	run.changedAt[engine.name] = at(now)
+	run.tellWanted(now, engine, true)
+	// The change must not begin before every daemon has stopped sending.
+	run.time.add(now+2*int64(spreadDelay), func(now int64) { run.wake(now, engine) })
+}
+
+func (run *run) tellWanted(now int64, engine *engine, unwanted bool) {
+	run.time.add(now+int64(spreadDelay), func(int64) {
+		for _, daemon := range run.daemons {
+			daemon.router.View().WithUnwanted(engine.name, unwanted)
+		}
+	})
+}
+
+func (run *run) startFailures() {
+	share := func(percent int64) int64 { return run.end * percent / 100 }
+	drained, crashed, lost := run.engines[2], run.engines[7], 1
+	run.time.add(share(30), func(int64) { run.declareDraining(drained, true) })
+	run.time.add(share(50), func(int64) { run.declareDraining(drained, false) })
+	run.time.add(share(58), func(now int64) { run.crash(now, crashed) })
+	run.time.add(share(70), func(int64) { run.loseDaemon(lost) })
+	run.time.add(share(80), func(int64) { run.daemons[lost].down = false })
+}
+
+func (run *run) declareDraining(engine *engine, draining bool) {
+	engine.declared.Draining = draining
+	change := lwtstate.Change{Number: run.state.Number + 1, Engines: []lwtstate.Engine{engine.declared}}
+	run.state = run.state.WithChange(change)
+	for _, daemon := range run.daemons {
+		daemon.router.View().WithState(run.state)
+	}
+}
+
+// restartTime is the time after which a crashed engine is back.
+const restartTime = 30 * time.Second
+
+func (run *run) crash(now int64, engine *engine) {
+	lost := engine.crash()
+	engine.next, engine.inbound = 0, 0
+	for _, j := range lost {
+		run.restart(now, j)
+	}
+	run.time.add(now+int64(restartTime), func(now int64) {
+		engine.down = false
+		run.wake(now, engine)
+	})
+}
+
+// loseDaemon ends an entry VM. Callers resume started streams through another
+// daemon; requests without a first token have no event to resume from and are
+// cut.
+func (run *run) loseDaemon(index int) {
+	if run.policy.Clairvoyant {
+		return
+	}
+	for i := range run.jobs {
+		j := &run.jobs[i]
+		if j.daemon != index || j.starts == 0 || j.doneAt != 0 {
+			continue
+		}
+		if j.firstAt == 0 {
+			j.cut = true
+		}
+	}
+	fresh := newDaemon(index, run.state, run.policy, run.random)
+	fresh.down = true
+	run.daemons[index] = fresh
+}
--- /dev/null
+++ b/core/lwtrouter/engine.go
@@ -0,0 +1,81 @@
+package lwtrouter
+
+import (
+	"slices"
+
+	"lacewingtide/core/lwtstate"
+)
+
+// engineView is what a daemon knows of one engine.
+type engineView struct {
+	name     string
+	zone     string
+	role     lwtstate.Role
+	declared lwtstate.Engine
+	report   Report
+	takenAt  int64 // Unix nanoseconds; 0 before the first report
+	// downUntil is in Unix nanoseconds.
+	downUntil int64
+	unwanted  bool
+	sent      sentLog
+	cache     cacheView
+	// prefillRate is in tokens per second.
+	prefillRate float64
+}
+
+func newEngineView(engine lwtstate.Engine, prefillRate float64) engineView {
+	return engineView{
+		name: engine.Name, zone: engine.AvailabilityZone, role: engine.Role, declared: engine,
+		report: Report{FreeBlocks: engine.MemoryBlocks}, cache: newCacheView(), prefillRate: prefillRate,
+	}
+}
+
+func (engine *engineView) takeReport(report Report) {
+	takenAt := report.TakenAt.UnixNano()
+	if takenAt < engine.takenAt && report.Incarnation == engine.report.Incarnation {
+		return
+	}
+	if engine.takenAt != 0 && report.Incarnation != engine.report.Incarnation {
+		engine.cache = newCacheView()
+		engine.sent = sentLog{}
+	}
+	engine.report, engine.takenAt = report, takenAt
+	if report.Role != "" {
+		engine.role = report.Role
+	}
+	if report.PrefillRate > 0 {
+		engine.prefillRate = report.PrefillRate
+	}
+	engine.sent.forget(takenAt)
+}
+
+// available reports whether the engine takes new work.
+func (engine *engineView) available(now int64) bool {
+	return !engine.unwanted && !engine.declared.Draining && !engine.report.Changing && engine.downUntil <= now
+}
+
+func (engine *engineView) mixed() bool { return engine.role == lwtstate.RoleMixed }
+
+// prefills and decodes report which phases the engine runs.
+func (engine *engineView) prefills() bool { return engine.role != lwtstate.RoleDecode }
+func (engine *engineView) decodes() bool  { return engine.role != lwtstate.RolePrefill }
+
+func (engine *engineView) hasAdapter(adapter string) bool {
+	return adapter == "" || slices.Contains(engine.declared.Adapters, adapter)
+}
+
+// streams returns the streams that the engine is expected to decode once all
+// known work has been prefilled.
+func (engine *engineView) streams() float64 {
+	return float64(engine.report.Running+engine.report.Waiting) + engine.sent.streams
+}
+
+// waitingTokens returns the prompt tokens at or above a priority that are
+// expected to wait now, after the engine has worked for elapsed seconds.
+func (engine *engineView) waitingTokens(priority int, elapsed, speed float64) float64 {
+	tokens := -elapsed * speed
+	for level := priority; level < Priorities; level++ {
+		tokens += float64(engine.report.WaitingTokens[level]) + engine.sent.tokens[level]
+	}
+	return max(0, tokens)
+}
--- a/core/lwtrouter/router.go
+++ b/core/lwtrouter/router.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"lacewingtide/core/lwtstate"
@@ -26,9 +27,75 @@
 	AvailabilityZone string
 }
 
-// Choice is the engine chosen for a request.
+// Choice is the engine chosen for a request, with what the request is
+// estimated to meet there.
 type Choice struct {
+	// Engine runs the prefill.
 	Engine string
+	// DecodeEngine runs the decode after a transfer of the KV cache. It is
+	// empty when Engine runs both phases.
+	DecodeEngine string
 	// FirstToken is the estimated time to the first token.
 	FirstToken time.Duration
+	// Whole is the estimated time to the whole answer.
+	Whole time.Duration
+	// BetweenTokens is the estimated time between two tokens.
+	BetweenTokens time.Duration
+	// CachedTokens are the prompt tokens that the engine's prefix cache is
+	// expected to save.
+	CachedTokens int
+	prefill      int32
+	decode       int32
+}
+
+// Split reports whether prefill and decode run on different engines.
+func (choice Choice) Split() bool { return choice.DecodeEngine != "" }
+
+// Router chooses engines by the view of one daemon. It is not safe for
+// concurrent use.
+type Router struct {
+	view   *View
+	rule   Rule
+	random *rand.Rand
+	// scores holds the candidates of the decision in progress; it is kept to
+	// avoid an allocation per decision.
+	scores []candidate
+}
+
+// New returns a router over a view. The random source must not be shared with
+// another goroutine.
+func New(view *View, rule Rule, random *rand.Rand) *Router {
+	return &Router{view: view, rule: rule, random: random}
+}
+
+// View returns the view that the router decides by.
+func (router *Router) View() *View { return router.view }
+
+// Pick chooses engines for a request. It returns ErrNoEngine when no
+// available engine of the model runs one of the phases. It doesn't record the
+// request: View.WithSent does when the request is sent.
+func (router *Router) Pick(now time.Time, request Request) (Choice, error) {
+	view := router.view
+	job := view.newJob(now, &request)
+	engines := view.byModel[request.Model]
+	router.scores = router.scores[:0]
+	for _, i := range engines {
+		if engine := &view.engines[i]; engine.decodes() && engine.serves(&job) {
+			router.scores = append(router.scores, view.decodeCandidate(&job, i))
+		}
+	}
+	job.decode, _ = router.choose(router.scores)
+	router.scores = router.scores[:0]
+	for _, i := range engines {
+		if engine := &view.engines[i]; engine.prefills() && engine.serves(&job) {
+			if candidate, found := view.prefillCandidate(&job, i); found {
+				router.scores = append(router.scores, candidate)
+			}
+		}
+	}
+	chosen, found := router.choose(router.scores)
+	if !found {
+		return Choice{}, ErrNoEngine
+	}
+	return view.choice(chosen, job.output), nil
 }
--- /dev/null
+++ b/core/lwtrouter/rule.go
@@ -0,0 +1,156 @@
+package lwtrouter
+
+import "math"
+
+// Rule says how one engine is chosen from scored candidates.
+type Rule int
+
+// The rules that were measured against each other; see
+// docs/measurements/routing.md.
+const (
+	// RuleTwoChoicesPrefix takes the best of two random engines and the best
+	// prefix holder within the load bound.
+	RuleTwoChoicesPrefix Rule = iota
+	// RuleLeastWork takes the best score of all engines.
+	RuleLeastWork
+	// RuleTwoChoices takes the better of two random engines.
+	RuleTwoChoices
+	// RulePrefix takes the best prefix holder within the load bound, else the
+	// engine with the least load.
+	RulePrefix
+	// RuleShortestQueue takes the shortest queue by the last reports alone.
+	RuleShortestQueue
+	// RuleBand takes a random engine of those whose score is within a band
+	// of the best.
+	RuleBand
+)
+
+const (
+	// loadBound is the load, as a multiple of the mean, up to which a prefix
+	// holder is preferred.
+	loadBound = 1.25
+	// loadSlack, in seconds of queue, keeps the bound from excluding every
+	// holder while the queues are short.
+	loadSlack = 0.05
+	// bandShare and bandLeast are the width of the band: a share of the best
+	// score, and at least so many seconds.
+	bandShare = 0.1
+	bandLeast = 0.01
+)
+
+// Rules returns the names of the rules in a fixed order.
+func Rules() []Rule {
+	return []Rule{RuleTwoChoicesPrefix, RuleLeastWork, RuleTwoChoices, RulePrefix, RuleShortestQueue, RuleBand}
+}
+
+// String returns the rule's name as used in reports.
+func (rule Rule) String() string {
+	return [...]string{
+		"two-choices-prefix", "least-work", "two-choices", "prefix-bounded", "shortest-queue", "band",
+	}[rule]
+}
+
+// choose returns the candidate that the router's rule takes; false when there
+// is none.
+func (router *Router) choose(candidates []candidate) (candidate, bool) {
+	if len(candidates) == 0 {
+		return candidate{engine: -1}, false
+	}
+	switch router.rule {
+	case RuleLeastWork:
+		return best(candidates), true
+	case RuleTwoChoices:
+		return router.two(candidates), true
+	case RulePrefix:
+		if holder, found := prefixHolder(candidates); found {
+			return holder, true
+		}
+		return best(candidates), true
+	case RuleShortestQueue:
+		return router.shortest(candidates), true
+	case RuleBand:
+		return router.band(candidates), true
+	default:
+		chosen := router.two(candidates)
+		if holder, found := prefixHolder(candidates); found && holder.score < chosen.score {
+			chosen = holder
+		}
+		return chosen, true
+	}
+}
+
+func best(candidates []candidate) candidate {
+	chosen := candidates[0]
+	for _, other := range candidates[1:] {
+		if other.score < chosen.score {
+			chosen = other
+		}
+	}
+	return chosen
+}
+
+func (router *Router) two(candidates []candidate) candidate {
+	first := router.random.IntN(len(candidates))
+	if len(candidates) == 1 {
+		return candidates[first]
+	}
+	second := router.random.IntN(len(candidates) - 1)
+	if second >= first {
+		second++
+	}
+	if candidates[second].score < candidates[first].score {
+		first = second
+	}
+	return candidates[first]
+}
+
+// prefixHolder returns the candidate with the longest cached prefix whose load
+// is within the bound.
+func prefixHolder(candidates []candidate) (candidate, bool) {
+	total := 0.0
+	for i := range candidates {
+		total += candidates[i].load
+	}
+	bound := loadBound*total/float64(len(candidates)) + loadSlack
+	chosen, found := candidate{}, false
+	for _, other := range candidates {
+		if other.saved > 0 && other.load <= bound &&
+			(!found || other.saved > chosen.saved || other.saved == chosen.saved && other.score < chosen.score) {
+			chosen, found = other, true
+		}
+	}
+	return chosen, found
+}
+
+// shortest compares the reported requests alone and takes a random one of
+// equals.
+func (router *Router) shortest(candidates []candidate) candidate {
+	chosen, least, equals := candidates[0], math.MaxInt, 0
+	for _, other := range candidates {
+		report := &router.view.engines[other.engine].report
+		switch queue := report.Running + report.Waiting; {
+		case queue < least:
+			chosen, least, equals = other, queue, 1
+		case queue == least:
+			if equals++; router.random.IntN(equals) == 0 {
+				chosen = other
+			}
+		}
+	}
+	return chosen
+}
+
+func (router *Router) band(candidates []candidate) candidate {
+	limit := best(candidates).score
+	limit += max(bandLeast, bandShare*limit)
+	chosen, within := candidates[0], 0
+	for _, other := range candidates {
+		if other.score > limit {
+			continue
+		}
+		if within++; router.random.IntN(within) == 0 {
+			chosen = other
+		}
+	}
+	return chosen
+}
--- /dev/null
+++ b/core/lwtrouter/view.go
@@ -0,0 +1,177 @@
+package lwtrouter
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"lacewingtide/core/lwtstate"
+)
+
+// View is what one daemon knows of the engines. It is changed in place by its
+// owner and is not safe for concurrent use.
+type View struct {
+	// name identifies the daemon; it decides which engines the daemon uses.
+	name    string
+	rates   speeds
+	engines []engineView
+	index   map[string]int32
+	byModel map[string][]int32
+	// objective bounds the time between tokens, in seconds.
+	between float64
+}
+
+// DefaultBetweenTokens is the objective for the time between two tokens.
+const DefaultBetweenTokens = 32 * time.Millisecond
+
+// NewView returns a view without engines for the daemon of the given name.
+func NewView(name string, rates Rates) *View {
+	return &View{
+		name: name, rates: rates.speeds(), between: DefaultBetweenTokens.Seconds(),
+		index: map[string]int32{}, byModel: map[string][]int32{},
+	}
+}
+
+// WithState sets the engines to those of a declared state. What is known of
+// engines that remain is kept.
+func (view *View) WithState(state lwtstate.State) *View {
+	names := slices.Sorted(maps.Keys(state.Engines))
+	engines := make([]engineView, 0, len(names))
+	for _, name := range names {
+		engines = append(engines, view.withDeclared(state.Engines[name]))
+	}
+	view.engines = engines
+	view.index = make(map[string]int32, len(engines))
+	for i := range engines {
+		view.index[engines[i].name] = int32(i)
+	}
+	view.byModel = map[string][]int32{}
+	for model := range state.Models {
+		view.byModel[model] = view.subset(state.EnginesOf(model))
+	}
+	return view
+}
+
+func (view *View) withDeclared(engine lwtstate.Engine) engineView {
+	i, found := view.index[engine.Name]
+	if !found {
+		return newEngineView(engine, view.rates.prefillRate)
+	}
+	known := view.engines[i]
+	if known.declared.Role != engine.Role {
+		known.role = engine.Role
+	}
+	known.declared = engine
+	return known
+}
+
+// WithReport takes an engine's report. A report that is older than the last
+// one is ignored; a new incarnation forgets the work and the cache of the old.
+func (view *View) WithReport(engine string, report Report) *View {
+	if i, found := view.index[engine]; found {
+		view.engines[i].takeReport(report)
+	}
+	return view
+}
+
+// WithSent records that a request was sent as chosen.
+func (view *View) WithSent(now time.Time, request Request, choice Choice) *View {
+	at := now.UnixNano()
+	prefill := view.find(choice.Engine, choice.prefill)
+	if prefill == nil {
+		return view
+	}
+	blocks := float64(request.PromptTokens+request.OutputTokens) / BlockTokens
+	work := sentWork{
+		at: at, priority: Priority(request.Class),
+		tokens: max(0, float64(request.PromptTokens-choice.CachedTokens)),
+	}
+	if !choice.Split() {
+		work.streams, work.blocks = 1, blocks
+	}
+	prefill.sent.add(work)
+	for _, prefix := range request.Prefixes {
+		prefill.cache.store(prefix)
+	}
+	if decode := view.find(choice.DecodeEngine, choice.decode); decode != nil {
+		decode.sent.add(sentWork{at: at, streams: 1, blocks: blocks})
+	}
+	return view
+}
+
+// WithCacheEvents takes the next events of an engine's prefix cache.
+func (view *View) WithCacheEvents(engine string, events []CacheEvent) *View {
+	if i, found := view.index[engine]; found {
+		view.engines[i].cache.apply(events)
+	}
+	return view
+}
+
+// WithDown keeps new work from an engine until the given time, as after a
+// refused connection.
+func (view *View) WithDown(engine string, until time.Time) *View {
+	if i, found := view.index[engine]; found {
+		view.engines[i].downUntil = max(view.engines[i].downUntil, until.UnixNano())
+	}
+	return view
+}
+
+// WithUnwanted sets whether an engine takes no new work because it is leaving
+// or about to change its role.
+func (view *View) WithUnwanted(engine string, unwanted bool) *View {
+	if i, found := view.index[engine]; found {
+		view.engines[i].unwanted = unwanted
+	}
+	return view
+}
+
+func (view *View) find(name string, hint int32) *engineView {
+	if int(hint) < len(view.engines) && view.engines[hint].name == name {
+		return &view.engines[hint]
+	}
+	if i, found := view.index[name]; found {
+		return &view.engines[i]
+	}
+	return nil
+}
+
+// Priority orders the classes at an engine; a higher one goes first.
+func Priority(class lwtstate.Class) int {
+	switch class {
+	case lwtstate.ClassLookup, lwtstate.ClassOrder:
+		return 3
+	case lwtstate.ClassChat:
+		return 2
+	case lwtstate.ClassMatch:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// Status is what a view knows of one engine, for the planner and for reports.
+type Status struct {
+	Name     string
+	Declared lwtstate.Engine
+	// Role is the role last reported, or the declared one before a report.
+	Role     lwtstate.Role
+	Changing bool
+	// Available says that the engine takes new work.
+	Available  bool
+	Running    int
+	ReportedAt time.Time
+}
+
+// Statuses returns the status of all engines, by name.
+func (view *View) Statuses(now time.Time) []Status {
+	statuses := make([]Status, 0, len(view.engines))
+	for i := range view.engines {
+		engine := &view.engines[i]
+		statuses = append(statuses, Status{
+			Name: engine.name, Declared: engine.declared, Role: engine.role,
+			Changing: engine.report.Changing || engine.unwanted, Available: engine.available(now.UnixNano()),
+			Running: engine.report.Running + engine.report.Waiting, ReportedAt: engine.report.TakenAt,
+		})
+	}
+	return statuses
+}
--- a/io/lwtcommand/command.go
+++ b/io/lwtcommand/command.go
@@ -46,6 +46,9 @@
 	return []command{
 		{"serve", "run an entry daemon", "Runs one entry daemon until SIGINT or SIGTERM.", &serveCommand{streams: streams}},
 		{"check", "check a settings file", "Checks a settings file and prints all problems.", &checkCommand{streams: streams}},
+		{"measure", "measure in virtual time", "Measures policies on models of engines in virtual time.", &measureCommand{
+			MixShift: measureMixShift{streams: streams}, streams: streams,
+		}},
 		{"stand-in", "run a stand-in", "Runs a stand-in for a system outside lacewingtide.", &standInCommand{streams: streams}},
 	}
 }
--- /dev/null
+++ b/io/lwtcommand/measure.go
@@ -0,0 +1,115 @@
+package lwtcommand
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"text/tabwriter"
+
+	"lacewingtide/core/lwtmix"
+)
+
+type measureCommand struct {
+	MixShift measureMixShift `command:"mix-shift" description:"compare policies in virtual time while the mix shifts"`
+	streams  streams
+}
+
+type measureMixShift struct {
+	Deployment string  `long:"deployment" required:"true" choice:"cristalier" choice:"himalchhat" description:"fleet and workload"`
+	Seed       uint64  `long:"seed" default:"1" description:"seed of the arrivals and of all random choices"`
+	Load       float64 `long:"load" default:"1" description:"mean load as a multiple of the fleet's capacity"`
+	JSON       bool    `long:"json" description:"print an object instead of a table"`
+	Plot       string  `long:"plot" description:"file for a picture of goodput over time (.png or .svg)"`
+	streams    streams
+}
+
+// Execute implements flags.Commander.
+func (command *measureMixShift) Execute([]string) error {
+	deployment, err := lwtmix.Find(command.Deployment)
+	if err != nil {
+		return err
+	}
+	if command.Load <= 0 {
+		return fmt.Errorf("--load must be above 0, not %v", command.Load)
+	}
+	experiment := lwtmix.Experiment{
+		Deployment: deployment, Seed: command.Seed, Load: command.Load, Duration: lwtmix.DefaultDuration,
+	}
+	results := runPolicies(experiment, lwtmix.Policies(deployment))
+	if command.Plot != "" {
+		if err := plotMixShift(command.Plot, experiment, results); err != nil {
+			return err
+		}
+	}
+	if command.JSON {
+		return command.writeJSON(results)
+	}
+	return command.writeTable(results)
+}
+
+// runPolicies runs the policies in parallel on the same arrivals. Each run is
+// deterministic by itself.
+func runPolicies(experiment lwtmix.Experiment, policies []lwtmix.Policy) []lwtmix.Result {
+	arrivals := lwtmix.Arrivals(experiment.Deployment, experiment.Seed, experiment.Load, experiment.Duration)
+	results := make([]lwtmix.Result, len(policies))
+	var running sync.WaitGroup
+	for i, policy := range policies {
+		running.Go(func() { results[i] = lwtmix.Run(experiment, policy, arrivals) })
+	}
+	running.Wait()
+	return results
+}
+
+type policyFigures struct {
+	Name           string  `json:"name"`
+	Goodput        float64 `json:"goodput"`
+	RoleChanges    int     `json:"role-changes"`
+	ChatFirstToken float64 `json:"chat-first-token-p95"`
+	BetweenTokens  float64 `json:"between-tokens-p95"`
+	Offered        int     `json:"offered"`
+	OnTime         int     `json:"on-time"`
+	NotRun         int     `json:"not-run"`
+	Late           int     `json:"late"`
+	Cut            int     `json:"cut"`
+	RanTwice       int     `json:"ran-twice"`
+	NotRunButRan   int     `json:"not-run-but-ran"`
+}
+
+func figures(result lwtmix.Result) policyFigures {
+	return policyFigures{
+		Name: result.Name, Goodput: result.Goodput(), RoleChanges: result.RoleChanges,
+		ChatFirstToken: result.ChatFirstToken.Seconds(), BetweenTokens: result.BetweenTokens.Seconds(),
+		Offered: result.Offered, OnTime: result.OnTime, NotRun: result.Rejected, Late: result.Late, Cut: result.Cut,
+		RanTwice: result.RanTwice, NotRunButRan: result.RejectedButRan,
+	}
+}
+
+// writeJSON prints the figures; times are in seconds.
+func (command *measureMixShift) writeJSON(results []lwtmix.Result) error {
+	policies := make([]policyFigures, 0, len(results))
+	for _, result := range results {
+		policies = append(policies, figures(result))
+	}
+	encoder := json.NewEncoder(command.streams.out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(struct {
+		Deployment string          `json:"deployment"`
+		Seed       uint64          `json:"seed"`
+		Load       float64         `json:"load"`
+		Policies   []policyFigures `json:"policies"`
+	}{command.Deployment, command.Seed, command.Load, policies})
+}
+
+func (command *measureMixShift) writeTable(results []lwtmix.Result) error {
+	table := tabwriter.NewWriter(command.streams.out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	// The flush reports errors of all writes.
+	_, _ = fmt.Fprintln(table, "policy\tgoodput\trole changes\tchat first token p95\tbetween tokens p95\t"+
+		"offered\tnot-run\tlate\tcut\tran twice\tnot-run but ran\t")
+	for _, result := range results {
+		_, _ = fmt.Fprintf(table, "%s\t%.4f\t%d\t%.3f s\t%.1f ms\t%d\t%d\t%d\t%d\t%d\t%d\t\n",
+			result.Name, result.Goodput(), result.RoleChanges, result.ChatFirstToken.Seconds(),
+			result.BetweenTokens.Seconds()*1000, result.Offered, result.Rejected, result.Late, result.Cut,
+			result.RanTwice, result.RejectedButRan)
+	}
+	return table.Flush()
+}
