--- a/io/lwtcommand/command.go
+++ b/io/lwtcommand/command.go
@@ -61,6 +61,9 @@
 		{"ticket", "submit, show or list tickets", "Changes the declared state and shows how it was changed.", newTicketCommand(streams)},
 		{"status", "show the status of a daemon", statusHelp, &statusCommand{streams: streams}},
 		{"report", "show service-level burn", reportHelp, &reportCommand{streams: streams}},
+		{"measure", "measure in virtual time", "Measures policies on models of engines in virtual time.", &measureCommand{
+			MixShift: measureMixShift{streams: streams}, streams: streams,
+		}},
 		{"stand-in", "run a stand-in", "Runs a stand-in for a system outside lacewingtide.", &standInCommand{streams: streams}},
 	}
 }
