--- a/core/lwtlease/answer.go
+++ b/core/lwtlease/answer.go
@@ -82,7 +82,7 @@
 	}
 	model.renewAt = sent.Add(RenewInterval)
 	switch {
-	case !model.lease.Valid(now):
+	case !model.lease.Valid(now) || model.row.Fencing <= model.floor:
 		model.lease = Lease{}
 		return model, nil
 	case before.Fencing == model.lease.Fencing:
--- a/core/lwtlease/model.go
+++ b/core/lwtlease/model.go
@@ -62,6 +62,21 @@
 // Update processes one message. The now of the Update that returns a Commit is
 // taken as the moment before the request is sent.
 func (model Model) Update(now time.Time, msg Msg) (Model, []Cmd) {
+	var cmds []Cmd
+	if model.paused(now) {
+		// What the daemon knew before the pause may be wrong: it acts again
+		// only under a new fencing number.
+		if model.lease.Fencing > 0 {
+			cmds = append(cmds, Notice{model.group, EventPaused, model.lease.Fencing})
+		}
+		model.lease, model.ticked = Lease{}, now
+		model.floor = max(model.floor, model.row.Fencing)
+	}
+	next, more := model.process(now, msg)
+	return next, append(cmds, more...)
+}
+
+func (model Model) process(now time.Time, msg Msg) (Model, []Cmd) {
 	switch msg := msg.(type) {
 	case Members:
 		model.members = msg.Names
@@ -84,12 +99,6 @@
 
 func (model Model) tick(now time.Time) (Model, []Cmd) {
 	var cmds []Cmd
-	if model.paused(now) && model.lease.Fencing > 0 {
-		// What the daemon knew before the pause may be wrong: it acts again
-		// only under a new fencing number.
-		cmds = append(cmds, Notice{model.group, EventPaused, model.lease.Fencing})
-		model.lease = Lease{}
-	}
 	model.ticked = now
 	if model.lease.Fencing > 0 && !model.lease.Valid(now) {
 		cmds = append(cmds, Notice{model.group, EventLost, model.lease.Fencing})
--- a/core/lwtorder/choose.go
+++ b/core/lwtorder/choose.go
@@ -12,6 +12,7 @@
 	ReasonUnsafe   = "the engine neither checks fencing numbers nor declares order-read-timeout"
 	ReasonLastCopy = "it is the last serving copy of a model"
 	ReasonLoads    = "the group loads as many engines as it may"
+	ReasonUnread   = "the copies in the group are not counted yet"
 	ReasonStopping = "the daemon is shutting down"
 	ReasonTries    = "the last order had no effect"
 	ReasonLease    = "the lease ends too soon for the order-read-timeout"
@@ -23,12 +24,11 @@
 		return model, nil
 	}
 	for name, engine := range model.engines {
-		engine.target = model.target(engine)
-		if engine.phase == PhaseDraining && !engine.differs() {
+		if engine.phase == PhaseDraining && !engine.differs {
 			// The declared state went back to what the engine runs.
 			engine.phase, engine.reason, engine.out = PhaseSteady, "", false
+			model.engines[name] = engine
 		}
-		model.engines[name] = engine
 	}
 	var cmds []Cmd
 	for _, name := range model.byFewestCopies() {
@@ -82,8 +82,10 @@
 // a model with the fewest serving copies in the group.
 func (model Model) byFewestCopies() []string {
 	copies := func(name string) int {
-		engine := model.engines[name]
-		fewest := len(model.engines)
+		engine, fewest := model.engines[name], len(model.engines)
+		if !engine.differs {
+			return fewest
+		}
 		for _, loaded := range engine.target.loads(engine.state.Content) {
 			fewest = min(fewest, model.serving(loaded, name))
 		}
@@ -115,10 +117,10 @@
 	if engine.phase == PhaseSteady {
 		engine.reason = ""
 	}
-	if !engine.differs() {
+	if !engine.differs {
 		engine.reserved = nil
 	}
-	if !engine.differs() || engine.reserving {
+	if !engine.differs || engine.reserving {
 		model.engines[name] = engine
 		return nil
 	}
@@ -192,14 +194,19 @@
 
 // order sends an order unless the group's bound or the lease forbids it.
 func (model *Model) order(now time.Time, engine engine, content Content) (engine, Cmd) {
-	loads := 0
+	loads, unread := 0, false
 	for _, other := range model.engines {
 		if other.loading() {
 			loads++
 		}
+		unread = unread || (other.state.Incarnation == 0 && other.failures == 0)
 	}
+	loading := len(content.loads(engine.state.Content)) > 0
 	switch {
-	case loads >= MaxLoads && len(content.loads(engine.state.Content)) > 0:
+	case loading && unread:
+		engine.reason = ReasonUnread
+		return engine, nil
+	case loading && loads >= MaxLoads:
 		engine.reason = ReasonLoads
 		return engine, nil
 	case !model.lease.Lasts(now, engine.margin()):
--- a/core/lwtorder/engine.go
+++ b/core/lwtorder/engine.go
@@ -33,8 +33,10 @@
 type engine struct {
 	declared lwtstate.Engine
 	target   Content
-	phase    Phase
-	reason   string
+	// differs says that the engine's content is not the target.
+	differs bool
+	phase   Phase
+	reason  string
 	// state is the last read state; valid from phase steady on.
 	state State
 	// reads counts the agreeing reads in a row.
@@ -106,8 +108,6 @@
 	return engine.declared.ChecksFencing || engine.declared.OrderReadTimeout > 0
 }
 
-func (engine engine) differs() bool { return !engine.state.Content.Equal(engine.target) }
-
 // serving reports whether the engine answers requests for a model and is not
 // about to stop.
 func (engine engine) serving(model string) bool {
--- a/core/lwtorder/model.go
+++ b/core/lwtorder/model.go
@@ -36,12 +36,14 @@
 // Model moves the engines of one group to the declared state. The zero Model is
 // not usable; New returns one.
 type Model struct {
-	group    string
-	state    lwtstate.State
-	lease    lwtlease.Lease
-	engines  map[string]engine
-	names    []string
-	roles    map[string]lwtstate.Role
+	group   string
+	state   lwtstate.State
+	lease   lwtlease.Lease
+	engines map[string]engine
+	names   []string
+	roles   map[string]lwtstate.Role
+	// fencing is that of the last authority; sequence counts the orders under it.
+	fencing  int64
 	sequence int64
 	attempts int64
 	ticked   time.Time
@@ -55,8 +57,17 @@
 
 // Update processes one message.
 func (model Model) Update(now time.Time, msg Msg) (Model, []Cmd) {
+	if _, tick := msg.(Tick); tick && !model.paused(now) && model.nothingDue(now) {
+		model.ticked = now
+		return model, nil
+	}
 	before := model
 	model.engines = maps.Clone(model.engines)
+	if model.paused(now) {
+		// After a pause everything is read again before the next order.
+		model = model.reset(now)
+		model.ticked = now
+	}
 	switch msg := msg.(type) {
 	case Declare:
 		model = model.declare(now, msg.State)
@@ -81,6 +92,9 @@
 	case Reserved:
 		model = model.reservedAnswer(now, msg)
 	}
+	if _, tick := msg.(Tick); !tick {
+		model = model.retarget()
+	}
 	next, cmds := model.step(now)
 	return next, append(changes(before, next), cmds...)
 }
@@ -95,12 +109,26 @@
 	return true
 }
 
-func (model Model) tick(now time.Time) Model {
-	late := now.Sub(model.ticked)
-	if !model.ticked.IsZero() && late > TickInterval+lwtlease.PauseLimit {
-		// After a pause everything is read again before the next order.
-		model = model.reset(now)
+// paused reports whether a tick is overdue by more than the pause limit.
+func (model Model) paused(now time.Time) bool {
+	return !model.ticked.IsZero() && now.Sub(model.ticked) > TickInterval+lwtlease.PauseLimit
+}
+
+// nothingDue reports whether a tick changes nothing, as for most groups most of
+// the time.
+func (model Model) nothingDue(now time.Time) bool {
+	if model.lease.Fencing == 0 {
+		return true
 	}
+	for _, engine := range model.engines {
+		if engine.phase != PhaseSteady || engine.differs || engine.readDue(now) {
+			return false
+		}
+	}
+	return model.lease.Valid(now)
+}
+
+func (model Model) tick(now time.Time) Model {
 	model.ticked = now
 	if model.lease.Fencing > 0 && !model.lease.Valid(now) {
 		model = model.reset(now)
@@ -112,7 +140,12 @@
 func (model Model) authorize(now time.Time, lease lwtlease.Lease) Model {
 	if lease.Fencing != model.lease.Fencing {
 		model = model.reset(now)
-		model.sequence, model.mayReserve, model.roles = 0, true, nil
+		model.mayReserve = true
+	}
+	if lease.Fencing > model.fencing {
+		// A renewal that was slow can restore an authority after it lapsed; its
+		// orders go on counting.
+		model.fencing, model.sequence, model.roles = lease.Fencing, 0, nil
 	}
 	model.lease = lease
 	return model
@@ -151,6 +184,15 @@
 	return model
 }
 
+func (model Model) retarget() Model {
+	for name, engine := range model.engines {
+		engine.target = model.target(engine)
+		engine.differs = !engine.state.Content.Equal(engine.target)
+		model.engines[name] = engine
+	}
+	return model
+}
+
 // target returns what an engine should run: the declared content, in the role
 // that the planner wants. A permitted role that an earlier holder's planner
 // chose is kept.
