--- a/io/lwtdaemon/connect.go
+++ b/io/lwtdaemon/connect.go
@@ -1,14 +1,16 @@
 package lwtdaemon
 
-import (
-	"context"
-
-	"lacewingtide/io/lwtoperator"
-)
+import "lacewingtide/io/lwtoperator"
 
 // Connect joins the daemon's declared state with the other daemons. Without
 // peers the daemon follows the store alone.
-func (daemon *Daemon) Connect(ctx context.Context, peers Peers) { daemon.declared.connect(ctx, peers) }
+func (daemon *Daemon) Connect(peers Peers) { daemon.declared.connect(peers) }
+
+// PeerNumber takes the configuration number that another message of a peer
+// carried, for example a digest. It does not block.
+func (daemon *Daemon) PeerNumber(member string, number int64) {
+	daemon.declared.peerNumber(member, number)
+}
 
 // Status returns the registry to which parts add entries of the status.
 func (daemon *Daemon) Status() *lwtoperator.Status { return daemon.status }
--- a/io/lwtdaemon/daemon.go
+++ b/io/lwtdaemon/daemon.go
@@ -14,6 +14,7 @@
 	"lacewingtide/io/lwtengine"
 	"lacewingtide/io/lwtentry"
 	"lacewingtide/io/lwtlog"
+	"lacewingtide/io/lwtmetric"
 	"lacewingtide/io/lwtoperator"
 	"lacewingtide/io/lwtplatform"
 	"lacewingtide/io/lwtsetting"
@@ -49,45 +50,62 @@
 	listeners Listeners
 	declared  *declared
 	router    *router
+	limiter   *limiter
+	claims    *claims
 	entry     *lwtentry.Server
 	platform  *lwtplatform.Client
 	engines   *lwtengine.Client
+	metrics   *lwtmetric.Metrics
+	observer  *observer
 	operator  *lwtoperator.Server
 	status    *lwtoperator.Status
+	authority *authority
 }
 
 // New returns a daemon that serves on open listeners.
-func New(settings lwtsetting.Settings, listeners Listeners, logger log.Logger) *Daemon {
+func New(settings lwtsetting.Settings, listeners Listeners, logger log.Logger) (*Daemon, error) {
+	var metrics *lwtmetric.Metrics
+	var err error
+	if metrics, err = lwtmetric.New(settings.Name); err != nil {
+		return nil, err
+	}
 	daemon := &Daemon{
 		settings:  settings,
 		logger:    log.With(logger, "daemon", settings.Name),
 		listeners: listeners,
 		platform:  lwtplatform.New(settings.Platform.Address, settings.Platform.Timeout.Std()),
 		engines:   lwtengine.New(),
+		metrics:   metrics,
 	}
 	daemon.declared = newDeclared(settings.Name, daemon.platform, daemon.logger)
 	daemon.operator, daemon.status = newOperator(settings, daemon.declared, daemon.logger)
 	daemon.router = newRouter(daemon.declared)
+	daemon.observer = newObserver(settings.Name, daemon.declared, metrics.Scope())
+	daemon.limiter = newLimiter(daemon.declared, settings.Name)
+	daemon.claims = newClaims(daemon.platform, settings.Name, daemon.logger)
+	daemon.authority = newAuthority(daemon.runName(), daemon.declared, daemon.platform, daemon.engines, daemon.logger)
 	daemon.entry = lwtentry.New(lwtentry.Dependencies{
 		Declared:         daemon.declared,
 		Router:           daemon.router,
-		Limiter:          openLimiter{},
+		Limiter:          daemon.limiter,
 		Addresses:        ownAddress{settings.EntryAddress},
-		Observer:         discardObserver{},
-		Services:         newForwarder(daemon.logger),
+		Observer:         daemon.observer,
+		Services:         newForwarder(daemon.claims, settings.AvailabilityZone, daemon.logger),
 		Engines:          daemon.engines,
 		Logger:           daemon.logger,
 		StreamKey:        []byte(settings.PeerKey),
 		Name:             settings.Name,
 		AvailabilityZone: settings.AvailabilityZone,
 	})
-	return daemon
+	return daemon, nil
 }
 
 // Run serves until ctx ends, then shuts down gracefully.
 func (daemon *Daemon) Run(ctx context.Context) error {
 	supervisor := suture.New("daemon "+daemon.settings.Name, suture.Spec{EventHook: daemon.supervised})
 	supervisor.Add(daemon.declared)
+	supervisor.Add(daemon.claims)
+	supervisor.Add(daemon.authority)
 	supervisor.Add(serverPart{"entry", func() error { return daemon.entry.Serve(daemon.listeners.Entry) }})
 	supervisor.Add(serverPart{"operator", func() error { return daemon.operator.Serve(daemon.listeners.Operator) }})
 	lwtlog.Info(daemon.logger, "daemon-started", "entry-address", daemon.listeners.Entry.Addr(),
@@ -96,7 +114,10 @@
 	defer stop()
 	ended := supervisor.ServeBackground(parts)
 	<-ctx.Done()
-	err := errors.Join(daemon.entry.Shutdown(), daemon.operator.Shutdown(parts))
+	daemon.authority.Shutdown()
+	err := daemon.entry.Shutdown()
+	daemon.claims.Drain(claimDrain)
+	err = errors.Join(err, daemon.operator.Shutdown(parts))
 	stop()
 	if ended := <-ended; !errors.Is(ended, context.Canceled) {
 		lwtlog.Warn(daemon.logger, "supervisor-ended", "err", ended)
--- a/io/lwtdaemon/declared_store.go
+++ b/io/lwtdaemon/declared_store.go
@@ -111,7 +111,7 @@
 // that the transaction found when it was not committed.
 func commitRows(platform *lwtplatform.Client, commit lwtticket.Commit) (lwtticket.Answered, error) {
 	var answered lwtticket.Answered
-	transaction, err := transactionOf(commit)
+	transaction, err := commitTransaction(commit)
 	if err != nil {
 		return answered, err
 	}
@@ -136,7 +136,7 @@
 	return answered, nil
 }
 
-func transactionOf(commit lwtticket.Commit) (lwtplatform.Transaction, error) {
+func commitTransaction(commit lwtticket.Commit) (lwtplatform.Transaction, error) {
 	write := lwtticket.WriteKey(commit.Record.WriteID)
 	transaction := lwtplatform.Transaction{Conditions: []lwtplatform.Condition{
 		{Key: lwtticket.HeadKey, Version: commit.HeadVersion},
--- a/io/lwtdaemon/declared_test.go
+++ b/io/lwtdaemon/declared_test.go
@@ -78,21 +78,21 @@
 }
 
 // group is a number of declared parts that share a store and a bus.
-type group struct {
+type declaredGroup struct {
 	platform *lwtstandin.Platform
 	address  string
 	bus      *bus
 	parts    []*declared
 }
 
-func newGroup(t testing.TB, size int) *group {
+func newGroup(t testing.TB, size int) *declaredGroup {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	group := &group{platform: lwtstandin.NewPlatform(), address: listener.Addr().String(), bus: newBus()}
+	group := &declaredGroup{platform: lwtstandin.NewPlatform(), address: listener.Addr().String(), bus: newBus()}
 	go func() { _ = group.platform.Serve(listener) }()
 	for range size {
 		group.start(t)
@@ -101,12 +101,12 @@
 }
 
 // start adds a daemon's declared part to the group.
-func (group *group) start(t testing.TB) *declared {
+func (group *declaredGroup) start(t testing.TB) *declared {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	name := fmt.Sprintf("d%d", len(group.parts)+1)
 	part := newDeclared(name, lwtplatform.New(group.address, 2*time.Second), log.NewNopLogger())
-	part.connect(ctx, group.bus.join(name))
+	part.connect(group.bus.join(name))
 	group.parts = append(group.parts, part)
 	ended := make(chan struct{})
 	go func() {
@@ -121,7 +121,7 @@
 }
 
 // await waits until every part has a number in force.
-func (group *group) await(t testing.TB, number int64) {
+func (group *declaredGroup) await(t testing.TB, number int64) {
 	t.Helper()
 	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
 		behind := slices.IndexFunc(group.parts, func(part *declared) bool {
@@ -151,7 +151,7 @@
 	return ticket
 }
 
-func (group *group) submit(t testing.TB, part *declared, base int64, name string) lwtticket.Result {
+func (group *declaredGroup) submit(t testing.TB, part *declared, base int64, name string) lwtticket.Result {
 	t.Helper()
 	writeID := fmt.Sprintf("%s-%d-%s", part.name, base, name)
 	result := part.submit(t.Context(), writeID, "operator", callerTicket(t, base, name))
--- a/io/lwtdaemon/thin.go
+++ b/io/lwtdaemon/thin.go
@@ -1,20 +1,9 @@
 package lwtdaemon
 
-import (
-	"time"
-
-	"lacewingtide/core/lwtstate"
-	"lacewingtide/io/lwtentry"
-)
+import "time"
 
 const addressKeep = 10 * time.Second
 
-// openLimiter admits every request.
-type openLimiter struct{}
-
-// Take implements lwtentry.Limiter.
-func (openLimiter) Take(time.Time, lwtstate.Caller) (func(), error) { return func() {}, nil }
-
 // ownAddress answers with the daemon's own address.
 type ownAddress struct{ address string }
 
@@ -22,9 +11,3 @@
 func (own ownAddress) Answer(time.Time, string) ([]string, time.Duration) {
 	return []string{own.address}, addressKeep
 }
-
-// discardObserver keeps nothing.
-type discardObserver struct{}
-
-// Observe implements lwtentry.Observer.
-func (discardObserver) Observe(time.Time, lwtentry.Result) {}
--- a/io/lwtstandin/engine.go
+++ b/io/lwtstandin/engine.go
@@ -34,6 +34,13 @@
 	OrderReadTimeout time.Duration
 	// ChangeTime is the time that a change of role or models takes.
 	ChangeTime time.Duration
+	// Stamp adds the time of writing to each event, for measurements: the
+	// field "written" in nanoseconds since the Unix epoch.
+	Stamp bool
+	// Weights is where models are loaded from; nil for no limit.
+	Weights *WeightStore
+	// ModelBlocks is the size of a model's weights for the weight store.
+	ModelBlocks int
 }
 
 // DefaultEngineOptions returns the options of a mid-size engine.
@@ -51,6 +58,7 @@
 		ChecksFencing:    true,
 		OrderReadTimeout: time.Second,
 		ChangeTime:       time.Second,
+		ModelBlocks:      64,
 	}
 }
 
@@ -67,6 +75,9 @@
 	state       engineState
 	wake        chan struct{}
 	started     int64
+	orders      engineOrders
+	// gate is held while the engine is paused.
+	gate sync.RWMutex
 }
 
 // NewEngine returns an engine. Its incarnation must differ from that of every
@@ -77,7 +88,7 @@
 		incarnation: incarnation,
 		streams:     map[string]*engineStream{},
 		wake:        make(chan struct{}, 1),
-		state:       engineState{Role: options.Role, Models: options.Models, Incarnation: incarnation},
+		state:       initialState(options, incarnation),
 	}
 }
 
@@ -114,18 +125,22 @@
 		time.Duration(float64(prefilled)/engine.options.PrefillRate*float64(time.Second))
 }
 
+// prefill works on the waiting prompts, highest priority first, until the
+// chunk of one step is used up.
 func (engine *Engine) prefill() int {
-	if len(engine.waiting) == 0 || len(engine.running) >= engine.options.MaxRunning {
-		return 0
-	}
-	next := slices.MaxFunc(engine.waiting, func(a, b *engineStream) int { return a.priority - b.priority })
-	chunk := min(next.promptLeft, engine.options.PrefillChunk)
-	next.promptLeft -= chunk
-	if next.promptLeft == 0 {
-		engine.waiting = slices.DeleteFunc(engine.waiting, func(s *engineStream) bool { return s == next })
-		engine.running = append(engine.running, next)
+	used := 0
+	for used < engine.options.PrefillChunk && len(engine.waiting) > 0 &&
+		len(engine.running) < engine.options.MaxRunning {
+		next := slices.MaxFunc(engine.waiting, func(a, b *engineStream) int { return a.priority - b.priority })
+		chunk := min(next.promptLeft, engine.options.PrefillChunk-used)
+		used += chunk
+		next.promptLeft -= chunk
+		if next.promptLeft == 0 {
+			engine.waiting = slices.DeleteFunc(engine.waiting, func(s *engineStream) bool { return s == next })
+			engine.running = append(engine.running, next)
+		}
 	}
-	return chunk
+	return used
 }
 
 func (engine *Engine) decode(now time.Time) {
@@ -158,10 +173,11 @@
 	if stream, found := engine.streams[id]; found {
 		return stream, nil
 	}
-	if engine.state.Changing || !slices.Contains(engine.state.Models, request.Model) {
+	if !engine.serves(time.Now(), request.Model) {
 		return nil, fmt.Errorf("engine %s does not serve model %q now", engine.options.Name, request.Model)
 	}
 	stream := newEngineStream(id, request, priority)
+	stream.stamp = engine.options.Stamp
 	engine.streams[id] = stream
 	engine.waiting = append(engine.waiting, stream)
 	engine.started++
