--- a/io/lwtcommand/command.go
+++ b/io/lwtcommand/command.go
@@ -60,6 +60,7 @@
 		{"check", "check a settings file or a ticket", checkHelp, &checkCommand{streams: streams}},
 		{"ticket", "submit, show or list tickets", "Changes the declared state and shows how it was changed.", newTicketCommand(streams)},
 		{"status", "show the status of a daemon", statusHelp, &statusCommand{streams: streams}},
+		{"report", "show service-level burn", reportHelp, &reportCommand{streams: streams}},
 		{"stand-in", "run a stand-in", "Runs a stand-in for a system outside lacewingtide.", &standInCommand{streams: streams}},
 	}
 }
--- /dev/null
+++ b/io/lwtdaemon/join.go
@@ -0,0 +1,104 @@
+package lwtdaemon
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"lacewingtide/core/lwtmember"
+	"lacewingtide/io/lwtloop"
+)
+
+// joinInterval is how often parts learn of changed members.
+const joinInterval = 200 * time.Millisecond
+
+// join passes on what one part of the daemon knows and another one needs. Every
+// part works without it, alone.
+type join struct {
+	daemon *Daemon
+	names  []string
+	number int64
+}
+
+// newJoin connects the parts of a daemon before it runs.
+func newJoin(daemon *Daemon) *join {
+	daemon.authority.members = daemon.members.runs
+	daemon.AddReleaser(daemon.authority)
+	daemon.status.Register("members", daemon.members.status)
+	daemon.status.Register("authority", func(now time.Time) any { return daemon.authority.status(now) })
+	return &join{daemon: daemon}
+}
+
+// Serve implements suture.Service.
+func (join *join) Serve(ctx context.Context) error {
+	return lwtloop.Tick(ctx, joinInterval, func(time.Time) { join.pass() })
+}
+
+// String names the part in logs.
+func (join *join) String() string { return "join" }
+
+func (join *join) pass() {
+	if names := join.daemon.members.known(); !slices.Equal(names, join.names) {
+		join.names = names
+		join.daemon.limiter.SetDaemons(names)
+	}
+	if state, _ := join.daemon.declared.State(); state.Number != join.number {
+		join.number = state.Number
+		join.daemon.members.SetNumber(state.Number)
+	}
+}
+
+// runs returns the live daemons in the form in which leases name them.
+func (members *members) runs() []string {
+	var runs []string
+	model := members.loop.Model()
+	for _, member := range append(model.Members(), model.Self()) {
+		if member.Live() && member.Status != lwtmember.Leaving {
+			runs = append(runs, runName(member))
+		}
+	}
+	slices.Sort(runs)
+	return slices.Compact(runs)
+}
+
+// runName identifies one run of a daemon: a successor at the same address must
+// not take its predecessor's leases for its own.
+func runName(member lwtmember.Member) string { return fmt.Sprintf("%s/%d", member.Name, member.Boot) }
+
+// known returns the names of all daemons that the VM list still has or that
+// the membership sees.
+func (members *members) known() []string {
+	model := members.loop.Model()
+	names := []string{model.Self().Name}
+	for _, member := range model.Members() {
+		if member.Live() || members.inVMList(member.Address) {
+			names = append(names, member.Name)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+func (members *members) inVMList(address string) bool {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	_, found := members.leavingVM[address]
+	return found
+}
+
+// memberStatus describes one daemon as this one sees it.
+type memberStatus struct {
+	Name             string `json:"name"`
+	Address          string `json:"address"`
+	AvailabilityZone string `json:"availability-zone"`
+	Status           string `json:"status"`
+}
+
+func (members *members) status(time.Time) any {
+	list := []memberStatus{}
+	for _, member := range members.loop.Model().Members() {
+		list = append(list, memberStatus{member.Name, member.Address, member.AvailabilityZone, member.Status.String()})
+	}
+	return list
+}
--- a/io/lwtloop/loop.go
+++ b/io/lwtloop/loop.go
@@ -40,7 +40,7 @@
 	}
 }
 
-// Offer queues a message unless the queue is full. It does not wait.
+// Offer queues a message unless the queue is full, and reports whether it did.
 func (loop *Loop[M, Msg, Cmd]) Offer(msg Msg) bool {
 	select {
 	case loop.messages <- msg:
--- a/io/lwtsetting/setting.go
+++ b/io/lwtsetting/setting.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"lacewingtide/core/lwtaddress"
 	"lacewingtide/core/lwtdocument"
 	"lacewingtide/core/lwtstate"
 )
@@ -30,6 +31,16 @@
 	LogLevel          string   `toml:"log-level"`
 	Platform          Platform `toml:"platform"`
 	Planner           Planner  `toml:"planner"`
+	Addresses         Address  `toml:"addresses"`
+}
+
+// Address sets how long callers and a leaving daemon rely on entry addresses.
+type Address struct {
+	// Keep is the time for which callers may keep an answer.
+	Keep lwtstate.Duration `toml:"keep"`
+	// Drain is the time for which a leaving daemon goes on serving. It must
+	// exceed Keep by the time that the news of leaving takes.
+	Drain lwtstate.Duration `toml:"drain"`
 }
 
 // Platform says where the platform's services are.
@@ -63,6 +74,10 @@
 		LogLevel: "info",
 		Platform: Platform{Timeout: lwtstate.Duration(defaultPlatformTimeout)},
 		Planner:  Planner{RoleChangeCost: 1, MinDwell: lwtstate.Duration(defaultMinDwell)},
+		Addresses: Address{
+			Keep:  lwtstate.Duration(lwtaddress.Keep),
+			Drain: lwtstate.Duration(lwtaddress.Drain(lwtaddress.Keep)),
+		},
 	}
 }
 
