--- a/io/lwtdaemon/connect.go
+++ b/io/lwtdaemon/connect.go
@@ -1,14 +1,6 @@
 package lwtdaemon
 
-import (
-	"context"
-
-	"lacewingtide/io/lwtoperator"
-)
-
-// Connect joins the daemon's declared state with the other daemons. Without
-// peers the daemon follows the store alone.
-func (daemon *Daemon) Connect(ctx context.Context, peers Peers) { daemon.declared.connect(ctx, peers) }
+import "lacewingtide/io/lwtoperator"
 
 // Status returns the registry to which parts add entries of the status.
 func (daemon *Daemon) Status() *lwtoperator.Status { return daemon.status }
--- a/io/lwtdaemon/declared_peer.go
+++ b/io/lwtdaemon/declared_peer.go
@@ -1,7 +1,7 @@
 package lwtdaemon
 
 import (
-	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -18,7 +18,8 @@
 type Peers interface {
 	// Send queues a message to a member. It does not wait for the member.
 	Send(member, kind string, body any) error
-	// Handle calls handle with the CBOR body of each message of a kind.
+	// Handle calls handle with the CBOR body of each message of a kind. Handle
+	// must not block and must not keep the body.
 	Handle(kind string, handle func(from string, body []byte))
 	// Members returns the names of the live members, with or without this one.
 	Members() []string
@@ -50,7 +51,7 @@
 }
 
 // connect starts the exchange with peers.
-func (declared *declared) connect(ctx context.Context, peers Peers) {
+func (declared *declared) connect(peers Peers) {
 	declared.peers.Store(&peers)
 	peers.Handle(kindTicketRequest, func(from string, body []byte) {
 		var request ticketRequest
@@ -58,7 +59,7 @@
 			lwtlog.Warn(declared.logger, "peer-message-malformed", "kind", kindTicketRequest, "from", from, "err", err)
 			return
 		}
-		declared.loop.Send(ctx, lwtspread.Asked{Member: from, After: request.After, OnlyNumber: request.OnlyNumber})
+		declared.heard(lwtspread.Asked{Member: from, After: request.After, OnlyNumber: request.OnlyNumber})
 	})
 	peers.Handle(kindTicketAnswer, func(from string, body []byte) {
 		var answer ticketAnswer
@@ -66,13 +67,21 @@
 			lwtlog.Warn(declared.logger, "peer-message-malformed", "kind", kindTicketAnswer, "from", from, "err", err)
 			return
 		}
-		declared.loop.Send(ctx, answer.told(from, time.Now()))
+		declared.heard(answer.told(from, time.Now()))
 	})
 }
 
-// PeerNumber takes the number that another message of a peer carried.
-func (declared *declared) PeerNumber(ctx context.Context, member string, number int64) {
-	declared.loop.Send(ctx, lwtspread.Told{Member: member, Number: number})
+// peerNumber takes the number that another message of a peer carried.
+func (declared *declared) peerNumber(member string, number int64) {
+	declared.heard(lwtspread.Told{Member: member, Number: number})
+}
+
+// heard passes on what a peer sent. A message that finds a full queue is
+// dropped: peers repeat their numbers, and the store is polled.
+func (declared *declared) heard(msg lwtspread.Msg) {
+	if !declared.loop.Offer(msg) {
+		lwtlog.Warn(declared.logger, "peer-message-dropped", "message", fmt.Sprintf("%T", msg))
+	}
 }
 
 func (answer ticketAnswer) told(from string, now time.Time) lwtspread.Told {
--- a/io/lwtdaemon/declared_test.go
+++ b/io/lwtdaemon/declared_test.go
@@ -106,7 +106,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	name := fmt.Sprintf("d%d", len(group.parts)+1)
 	part := newDeclared(name, lwtplatform.New(group.address, 2*time.Second), log.NewNopLogger())
-	part.connect(ctx, group.bus.join(name))
+	part.connect(group.bus.join(name))
 	group.parts = append(group.parts, part)
 	ended := make(chan struct{})
 	go func() {
