Run whole deployments in a demo, and stop new work to engines about to change

Cause: nobody could see all parts work together, and the first run of the demo showed a fault: the holder of a lease drained an engine, but the other daemons kept sending it work, so a declared role change waited until the load ended. Change: lacewingtide demo starts a deployment with stand-ins, callers, a ticket, a killed daemon and one that leaves, and compares what callers were told with what engines and shops ran. Daemons tell each other which engines they drain, and routing skips these. Libraries' messages go to the log as events.

--- a/core/lwtstate/change.go
+++ b/core/lwtstate/change.go
@@ -5,14 +5,14 @@
 type Change struct {
 	// Number is the number of the state that the change leads to.
 	Number     int64       `json:"number"               toml:"-"`
-	Engines    []Engine    `json:"engines,omitempty"    toml:"engine"`
-	Models     []Model     `json:"models,omitempty"     toml:"model"`
-	Adapters   []Adapter   `json:"adapters,omitempty"   toml:"adapter"`
-	Callers    []Caller    `json:"callers,omitempty"    toml:"caller"`
-	Services   []Service   `json:"services,omitempty"   toml:"service"`
-	Objectives []Objective `json:"objectives,omitempty" toml:"objective"`
+	Engines    []Engine    `json:"engines,omitempty"    toml:"engine,omitempty"`
+	Models     []Model     `json:"models,omitempty"     toml:"model,omitempty"`
+	Adapters   []Adapter   `json:"adapters,omitempty"   toml:"adapter,omitempty"`
+	Callers    []Caller    `json:"callers,omitempty"    toml:"caller,omitempty"`
+	Services   []Service   `json:"services,omitempty"   toml:"service,omitempty"`
+	Objectives []Objective `json:"objectives,omitempty" toml:"objective,omitempty"`
 	// Remove lists the objects that cease to exist.
-	Remove []ObjectID `json:"remove,omitempty" toml:"remove"`
+	Remove []ObjectID `json:"remove,omitempty" toml:"remove,omitempty"`
 }
 
 // WithNumber returns the change with another number.
--- a/core/lwtstate/object.go
+++ b/core/lwtstate/object.go
@@ -89,19 +89,19 @@
 	Group string `json:"group" toml:"group"`
 	Role  Role   `json:"role"  toml:"role"`
 	// PlannerRoles are the roles that the role planner may choose besides Role.
-	PlannerRoles []Role   `json:"planner-roles,omitempty" toml:"planner-roles"`
+	PlannerRoles []Role   `json:"planner-roles,omitempty" toml:"planner-roles,omitempty"`
 	Models       []string `json:"models"                  toml:"models"`
-	Adapters     []string `json:"adapters,omitempty"      toml:"adapters"`
+	Adapters     []string `json:"adapters,omitempty"      toml:"adapters,omitempty"`
 	// MemoryBlocks is the engine's memory in blocks of 2,048 tokens.
 	MemoryBlocks int `json:"memory-blocks" toml:"memory-blocks"`
 	// ChecksFencing says that the engine refuses orders with an old fencing number.
 	ChecksFencing bool `json:"checks-fencing" toml:"checks-fencing"`
 	// OrderReadTimeout bounds the time from an engine's 100 Continue to the
 	// end of the order's body. Zero means not declared.
-	OrderReadTimeout Duration `json:"order-read-timeout,omitzero" toml:"order-read-timeout"`
-	Draining         bool     `json:"draining,omitempty"          toml:"draining"`
+	OrderReadTimeout Duration `json:"order-read-timeout,omitzero" toml:"order-read-timeout,omitempty"`
+	Draining         bool     `json:"draining,omitempty"          toml:"draining,omitempty"`
 	// DrainDeadline bounds the wait for running streams. Zero means no bound.
-	DrainDeadline Duration `json:"drain-deadline,omitzero" toml:"drain-deadline"`
+	DrainDeadline Duration `json:"drain-deadline,omitzero" toml:"drain-deadline,omitempty"`
 }
 
 func (engine Engine) key() string { return engine.Name }
@@ -119,7 +119,7 @@
 // Adapter declares one adapter of a model at one version.
 type Adapter struct {
 	Name         string `json:"name"          toml:"name"`
-	Model        string `json:"model"         toml:"model"`
+	Model        string `json:"model"         toml:"model,omitempty"`
 	Version      string `json:"version"       toml:"version"`
 	MemoryBlocks int    `json:"memory-blocks" toml:"memory-blocks"`
 }
@@ -132,11 +132,11 @@
 	// KeyHash is the hexadecimal SHA-256 of the caller's key.
 	KeyHash  string   `json:"key-hash"           toml:"key-hash"`
 	Models   []string `json:"models"             toml:"models"`
-	Services []string `json:"services,omitempty" toml:"services"`
+	Services []string `json:"services,omitempty" toml:"services,omitempty"`
 	// Rate bounds the caller's requests per second over all daemons. Zero means no bound.
-	Rate float64 `json:"rate,omitempty" toml:"rate"`
+	Rate float64 `json:"rate,omitempty" toml:"rate,omitempty"`
 	// Concurrency bounds the caller's requests in flight over all daemons. Zero means no bound.
-	Concurrency int `json:"concurrency,omitempty" toml:"concurrency"`
+	Concurrency int `json:"concurrency,omitempty" toml:"concurrency,omitempty"`
 }
 
 func (caller Caller) key() string { return caller.Name }
@@ -146,7 +146,7 @@
 	Name           string          `json:"name"            toml:"name"`
 	BackendServers []BackendServer `json:"backend-servers" toml:"backend-servers"`
 	// Idempotent lists the calls that may be repeated. All others may not.
-	Idempotent []Call `json:"idempotent,omitempty" toml:"idempotent"`
+	Idempotent []Call `json:"idempotent,omitempty" toml:"idempotent,omitempty"`
 	// Timeout bounds one attempt.
 	Timeout Duration `json:"timeout" toml:"timeout"`
 }
@@ -157,7 +157,7 @@
 type BackendServer struct {
 	Address          string `json:"address"            toml:"address"`
 	AvailabilityZone string `json:"availability-zone"  toml:"availability-zone"`
-	Draining         bool   `json:"draining,omitempty" toml:"draining"`
+	Draining         bool   `json:"draining,omitempty" toml:"draining,omitempty"`
 }
 
 // Call matches requests to a service by method and path prefix.
--- a/io/lwtcommand/command.go
+++ b/io/lwtcommand/command.go
@@ -64,6 +64,7 @@
 		{"measure", "measure in virtual time", "Measures policies on models of engines in virtual time.", &measureCommand{
 			MixShift: measureMixShift{streams: streams}, streams: streams,
 		}},
+		{"demo", "run a whole deployment on loopback", demoHelp, &demoCommand{streams: streams}},
 		{"stand-in", "run a stand-in", "Runs a stand-in for a system outside lacewingtide.", &standInCommand{streams: streams}},
 	}
 }
--- a/io/lwtdaemon/daemon.go
+++ b/io/lwtdaemon/daemon.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 
 	"github.com/go-kit/log"
 	"github.com/thejerf/suture/v4"
@@ -65,6 +66,9 @@
 	members   *members
 	releasers []Releaser
 	join      *join
+	drains    *drains
+	halt      sync.Once
+	halted    chan struct{}
 }
 
 // New returns a daemon that serves on open listeners.
@@ -81,6 +85,7 @@
 		platform:  lwtplatform.New(settings.Platform.Address, settings.Platform.Timeout.Std()),
 		engines:   lwtengine.New(),
 		metrics:   metrics,
+		halted:    make(chan struct{}),
 	}
 	daemon.declared = newDeclared(settings.Name, daemon.platform, daemon.logger)
 	daemon.operator, daemon.status = newOperator(settings, daemon.declared, daemon.logger)
@@ -93,6 +98,8 @@
 	daemon.peers, daemon.members = newMembers(settings, listeners, daemon.platform, daemon.logger)
 	daemon.authority = newAuthority(runName(daemon.members.Model().Self()), daemon.declared, daemon.platform,
 		daemon.engines, daemon.logger)
+	daemon.drains = newDrains(daemon.authority.Draining, daemon.peers, daemon.logger)
+	daemon.router.draining = daemon.drains.Draining
 	daemon.join = newJoin(daemon)
 	daemon.entry = lwtentry.New(lwtentry.Dependencies{
 		Declared:         daemon.declared,
@@ -110,6 +117,10 @@
 	return daemon, nil
 }
 
+// Halt ends Run at once, as a crash would: the daemon leaves nothing in order.
+// It is meant for tests of failures.
+func (daemon *Daemon) Halt() { daemon.halt.Do(func() { close(daemon.halted) }) }
+
 // Run serves until ctx ends, then shuts down gracefully.
 func (daemon *Daemon) Run(ctx context.Context) error {
 	supervisor := suture.New("daemon "+daemon.settings.Name, suture.Spec{EventHook: daemon.supervised})
@@ -121,6 +132,7 @@
 	supervisor.Add(serverPart{"entry", func() error { return daemon.entry.Serve(entry) }})
 	supervisor.Add(daemon.members)
 	supervisor.Add(daemon.join)
+	supervisor.Add(daemon.drains)
 	supervisor.Add(serverPart{"peers", func() error { return daemon.peers.Serve(daemon.listeners.Peer) }})
 	lwtlog.Info(daemon.logger, "daemon-started", "entry-address", daemon.listeners.Entry.Addr(),
 		"availability-zone", daemon.settings.AvailabilityZone)
@@ -129,10 +141,15 @@
 	daemon.declared.connect(daemon.peers)
 	daemon.members.OnNumber(func(number int64, from string) { daemon.declared.peerNumber(from, number) })
 	ended := supervisor.ServeBackground(parts)
-	<-ctx.Done()
-	err := daemon.shutdown(parts, entry)
-	daemon.claims.Drain(claimDrain)
-	err = errors.Join(err, daemon.operator.Shutdown(parts))
+	var err error
+	select {
+	case <-ctx.Done():
+		err = daemon.shutdown(parts, entry)
+		daemon.claims.Drain(claimDrain)
+		err = errors.Join(err, daemon.operator.Shutdown(parts))
+	case <-daemon.halted:
+		daemon.closeListeners()
+	}
 	stop()
 	if ended := <-ended; !errors.Is(ended, context.Canceled) {
 		lwtlog.Warn(daemon.logger, "supervisor-ended", "err", ended)
@@ -141,6 +158,14 @@
 	return err
 }
 
+func (daemon *Daemon) closeListeners() {
+	daemon.peers.Close()
+	for _, listener := range []net.Listener{daemon.listeners.Entry, daemon.listeners.Peer, daemon.listeners.Operator} {
+		// The daemon ends without order.
+		_ = listener.Close()
+	}
+}
+
 func (daemon *Daemon) supervised(event suture.Event) {
 	lwtlog.Warn(daemon.logger, "part-event", "detail", event.String())
 }
--- a/io/lwtdaemon/join.go
+++ b/io/lwtdaemon/join.go
@@ -27,6 +27,7 @@
 	daemon.AddReleaser(daemon.authority)
 	daemon.status.Register("members", daemon.members.status)
 	daemon.status.Register("authority", func(now time.Time) any { return daemon.authority.status(now) })
+	daemon.status.Register("draining", daemon.drains.status)
 	return &join{daemon: daemon}
 }
 
--- a/io/lwtdaemon/router.go
+++ b/io/lwtdaemon/router.go
@@ -13,10 +13,12 @@
 	declared *declared
 	mutex    sync.Mutex
 	active   map[string]int
+	// draining reports whether an engine is about to be changed.
+	draining func(engine string) bool
 }
 
 func newRouter(declared *declared) *router {
-	return &router{declared: declared, active: map[string]int{}}
+	return &router{declared: declared, active: map[string]int{}, draining: func(string) bool { return false }}
 }
 
 // Pick implements lwtentry.Router.
@@ -26,7 +28,7 @@
 	defer router.mutex.Unlock()
 	best := ""
 	for _, name := range state.EnginesOf(request.Model) {
-		if state.Engines[name].Draining {
+		if state.Engines[name].Draining || router.draining(name) {
 			continue
 		}
 		if best == "" || router.active[name] < router.active[best] {
--- /dev/null
+++ b/io/lwtdemo/access.go
@@ -0,0 +1,23 @@
+package lwtdemo
+
+// Access says how to reach a running deployment.
+type Access struct {
+	EntryAddresses    []string `json:"entry-addresses"`
+	OperatorAddresses []string `json:"operator-addresses"`
+	CallerKey         string   `json:"caller-key"`
+	OperatorKey       string   `json:"operator-key"`
+	Models            []string `json:"models"`
+	Services          []string `json:"services"`
+}
+
+// Access returns how to reach the deployment.
+func (fleet *Fleet) Access() Access {
+	return Access{
+		EntryAddresses:    fleet.EntryAddresses(),
+		OperatorAddresses: fleet.OperatorAddresses(),
+		CallerKey:         callerKey,
+		OperatorKey:       operatorKey,
+		Models:            []string{fleet.layout.Model},
+		Services:          []string{shopService},
+	}
+}
--- /dev/null
+++ b/io/lwtdemo/ticket.go
@@ -0,0 +1,56 @@
+package lwtdemo
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"lacewingtide/core/lwtstate"
+	"lacewingtide/core/lwtticket"
+	"lacewingtide/io/lwtoperator"
+)
+
+const serviceTimeout = 2 * time.Second
+
+// firstChange declares the whole fleet.
+func (fleet *Fleet) firstChange() lwtstate.Change {
+	return lwtstate.Change{
+		Engines:    fleet.declared,
+		Models:     []lwtstate.Model{{Name: fleet.layout.Model, Version: "1", MemoryBlocks: modelBlocks}},
+		Callers:    []lwtstate.Caller{fleet.caller()},
+		Objectives: fleet.layout.objectives(),
+		Services: []lwtstate.Service{{
+			Name: shopService, BackendServers: fleet.servers, Timeout: lwtstate.Duration(serviceTimeout),
+			Idempotent: []lwtstate.Call{{Method: "GET", PathPrefix: "/stock"}},
+		}},
+	}
+}
+
+// roleChange gives the last engine another role.
+func (fleet *Fleet) roleChange() lwtstate.Change {
+	engine := fleet.declared[len(fleet.declared)-1]
+	engine.Role = lwtstate.RoleDecode
+	return lwtstate.Change{Engines: []lwtstate.Engine{engine}}
+}
+
+// submit submits a change through the operators' API, as the command line does,
+// and returns its number.
+func (fleet *Fleet) submit(base int64, change lwtstate.Change) (int64, error) {
+	ticket, err := toml.Marshal(struct {
+		Base int64 `toml:"base"`
+		lwtstate.Change
+	}{base, change})
+	if err != nil {
+		return 0, fmt.Errorf("encode ticket: %w", err)
+	}
+	client := lwtoperator.NewClient(fleet.OperatorAddresses(), operatorKey)
+	answer, err := client.Submit(lwtoperator.NewWriteID(), ticket)
+	if err != nil {
+		return 0, err
+	}
+	if answer.Outcome != lwtticket.Accepted {
+		return 0, fmt.Errorf("the ticket was not accepted: %s %s %v", answer.Outcome, answer.Reason, answer.Problems)
+	}
+	return answer.Number, nil
+}
--- a/io/lwtentry/server.go
+++ b/io/lwtentry/server.go
@@ -122,6 +122,7 @@
 		IdleTimeout:           idleTimeout,
 		Concurrency:           maxConnections,
 		NoDefaultServerHeader: true,
+		Logger:                lwtlog.NewPrinter(dependencies.Logger, "caller-connection-failed"),
 		CloseOnShutdown:       true,
 		// Bodies of calls to services pass through unchanged.
 		DisablePreParseMultipartForm: true,
--- a/io/lwtlog/log.go
+++ b/io/lwtlog/log.go
@@ -2,6 +2,7 @@
 package lwtlog
 
 import (
+	"fmt"
 	"io"
 
 	"github.com/go-kit/log"
@@ -35,3 +36,19 @@
 	// A log line that can't be written is lost; there is nowhere to report it.
 	_ = logger.Log(append([]any{"event", event}, keyvals...)...)
 }
+
+// Printer passes what a library prints on as events of a logger.
+type Printer struct {
+	logger log.Logger
+	event  string
+}
+
+// NewPrinter returns a printer whose lines become warnings with an event name.
+func NewPrinter(logger log.Logger, event string) Printer {
+	return Printer{logger: logger, event: event}
+}
+
+// Printf implements the loggers of fasthttp and other libraries.
+func (printer Printer) Printf(format string, args ...any) {
+	Warn(printer.logger, printer.event, "detail", fmt.Sprintf(format, args...))
+}
--- a/io/lwtoperator/server.go
+++ b/io/lwtoperator/server.go
@@ -74,6 +74,7 @@
 		IdleTimeout:           idleTimeout,
 		Concurrency:           maxConnections,
 		NoDefaultServerHeader: true,
+		Logger:                lwtlog.NewPrinter(dependencies.Logger, "operator-connection-failed"),
 		CloseOnShutdown:       true,
 	}
 	return server
--- a/io/lwtpeer/accept.go
+++ b/io/lwtpeer/accept.go
@@ -22,6 +22,7 @@
 		Concurrency:           network.options.MaxConnections,
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
+		Logger:                lwtlog.NewPrinter(network.options.Logger, "peer-connection-failed"),
 	}
 }
 
--- a/io/lwtstandin/engine.go
+++ b/io/lwtstandin/engine.go
@@ -34,6 +34,8 @@
 	OrderReadTimeout time.Duration
 	// ChangeTime is the time that a change of role or models takes.
 	ChangeTime time.Duration
+	// RecordPrompts makes the engine keep which prompts it ran.
+	RecordPrompts bool
 	// Stamp adds the time of writing to each event, for measurements: the
 	// field "written" in nanoseconds since the Unix epoch.
 	Stamp bool
@@ -75,6 +77,7 @@
 	state       engineState
 	wake        chan struct{}
 	started     int64
+	prompts     map[string]bool
 	orders      engineOrders
 	// gate is held while the engine is paused.
 	gate sync.RWMutex
@@ -87,6 +90,7 @@
 		options:     options,
 		incarnation: incarnation,
 		streams:     map[string]*engineStream{},
+		prompts:     map[string]bool{},
 		wake:        make(chan struct{}, 1),
 		state:       initialState(options, incarnation),
 	}
@@ -115,6 +119,21 @@
 	return engine.started
 }
 
+// RanPrompt reports whether a request with the prompt has begun to run. It
+// needs RecordPrompts.
+func (engine *Engine) RanPrompt(prompt string) bool {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return engine.prompts[prompt]
+}
+
+// Role returns the role in which the engine runs.
+func (engine *Engine) Role() lwtstate.Role {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return engine.state.Role
+}
+
 func (engine *Engine) step(now time.Time) time.Duration {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
@@ -181,6 +200,9 @@
 	engine.streams[id] = stream
 	engine.waiting = append(engine.waiting, stream)
 	engine.started++
+	if engine.options.RecordPrompts {
+		engine.prompts[stream.prompt] = true
+	}
 	return stream, nil
 }
 
--- a/io/lwtstandin/engine_http.go
+++ b/io/lwtstandin/engine_http.go
@@ -37,9 +37,8 @@
 
 // Serve answers calls on a listener until it is closed.
 func (engine *Engine) Serve(listener net.Listener) error {
-	server := &fasthttp.Server{
-		Handler: engine.handle, NoDefaultServerHeader: true, HeaderReceived: engine.startOrderTimer,
-	}
+	server := newServer(engine.handle)
+	server.HeaderReceived = engine.startOrderTimer
 	return server.Serve(listener)
 }
 
--- a/io/lwtstandin/platform.go
+++ b/io/lwtstandin/platform.go
@@ -55,7 +55,7 @@
 
 // Serve answers calls on a listener until it is closed.
 func (platform *Platform) Serve(listener net.Listener) error {
-	return (&fasthttp.Server{Handler: platform.handle, NoDefaultServerHeader: true}).Serve(listener)
+	return newServer(platform.handle).Serve(listener)
 }
 
 func (platform *Platform) handle(ctx *fasthttp.RequestCtx) {
--- a/io/lwtstandin/service.go
+++ b/io/lwtstandin/service.go
@@ -34,7 +34,7 @@
 
 // Serve answers calls on a listener until it is closed.
 func (shop *Shop) Serve(listener net.Listener) error {
-	return (&fasthttp.Server{Handler: shop.handle, NoDefaultServerHeader: true}).Serve(listener)
+	return newServer(shop.handle).Serve(listener)
 }
 
 func (shop *Shop) handle(ctx *fasthttp.RequestCtx) {
