Shorten selectors of embedded fields in the demo

Cause: the linter found three selectors that name an embedded field. Change: the selectors are shortened.

--- a/io/lwtdemo/cut.go
+++ b/io/lwtdemo/cut.go
@@ -35,7 +35,7 @@
 // Cut closes the listener and resets all connections.
 func (listener *cutListener) Cut() {
 	// A listener that is closed already accepts nothing either.
-	_ = listener.Listener.Close()
+	_ = listener.Close()
 	listener.mutex.Lock()
 	defer listener.mutex.Unlock()
 	for conn := range listener.conns {
--- a/io/lwtdemo/score.go
+++ b/io/lwtdemo/score.go
@@ -161,8 +161,8 @@
 		}
 		role := lwtstate.RoleMixed
 		for _, order := range orders {
-			if order.Order.Content.Role != role {
-				role = order.Order.Content.Role
+			if order.Order.Role != role {
+				role = order.Order.Role
 				changes++
 			}
 		}
