--- a/core/lwtmember/member.go
+++ b/core/lwtmember/member.go
@@ -39,7 +39,8 @@
 	// Address is the peer address (IP:port).
 	Address string `cbor:"1,keyasint"`
 	Name    string `cbor:"2,keyasint"`
-	// EntryAddress is where callers connect (IP:port).
+	// EntryAddress is where callers connect (IP:port). It is empty until the
+	// daemon has a state to serve by.
 	EntryAddress     string `cbor:"3,keyasint"`
 	AvailabilityZone string `cbor:"4,keyasint"`
 	// Boot is higher for each later daemon at the same address.
--- a/core/lwtmember/message.go
+++ b/core/lwtmember/message.go
@@ -59,6 +59,10 @@
 // Leave starts the departure of the daemon itself.
 type Leave struct{}
 
+// SetEntryAddress tells that the daemon is ready for callers at an address
+// (IP:port).
+type SetEntryAddress struct{ Address string }
+
 // SetNumber tells the configuration number that the daemon holds.
 type SetNumber struct{ Number int64 }
 
@@ -69,12 +73,13 @@
 	Value int64
 }
 
-func (Tick) isMsg()      {}
-func (Received) isMsg()  {}
-func (Peers) isMsg()     {}
-func (Leave) isMsg()     {}
-func (SetNumber) isMsg() {}
-func (SetValue) isMsg()  {}
+func (Tick) isMsg()            {}
+func (Received) isMsg()        {}
+func (Peers) isMsg()           {}
+func (Leave) isMsg()           {}
+func (SetNumber) isMsg()       {}
+func (SetEntryAddress) isMsg() {}
+func (SetValue) isMsg()        {}
 
 // Cmd is an output of Model.Update.
 type Cmd interface{ isCmd() }
--- a/core/lwtmember/model.go
+++ b/core/lwtmember/model.go
@@ -71,6 +71,9 @@
 		})
 	case Leave:
 		step.leave()
+	case SetEntryAddress:
+		step.self.EntryAddress = msg.Address
+		step.refute(step.self)
 	case SetNumber:
 		step.number = max(step.number, msg.Number)
 	case SetValue:
--- a/io/lwtdaemon/addresses.go
+++ b/io/lwtdaemon/addresses.go
@@ -48,8 +48,9 @@
 			Name:             member.Name,
 			EntryAddress:     member.EntryAddress,
 			AvailabilityZone: member.AvailabilityZone,
-			Serving:          member.Status == lwtmember.Alive && !members.leavingByVMList(member.Address),
-			Load:             digest.Values[loadKey],
+			Serving: member.Status == lwtmember.Alive && member.EntryAddress != "" &&
+				!members.leavingByVMList(member.Address),
+			Load: digest.Values[loadKey],
 		}
 	}
 	return candidates
--- /dev/null
+++ b/io/lwtdaemon/backend_test.go
@@ -0,0 +1,77 @@
+package lwtdaemon_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"lacewingtide/core/lwtstate"
+	"lacewingtide/io/lwtcommand"
+	"lacewingtide/io/lwtentry"
+	"lacewingtide/io/lwtplatform"
+	"lacewingtide/io/lwtstandin"
+)
+
+// serveVariable makes the test program run as the lacewingtide command, so that
+// tests can kill real daemons.
+const serveVariable = "LACEWINGTIDE_TEST_COMMAND"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(serveVariable) != "" {
+		os.Exit(lwtcommand.Main(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// backend is what stands behind the daemons of a test: a platform, one engine
+// and one shop order server.
+type backend struct {
+	platform string
+	shop     *lwtstandin.Shop
+}
+
+func newBackend(t testing.TB) backend {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	platform, platformListener := lwtstandin.NewPlatform(), listen(t)
+	engine, engineListener := lwtstandin.NewEngine(lwtstandin.DefaultEngineOptions("e1", "m"), 1), listen(t)
+	shop, shopListener := lwtstandin.NewShop("s1"), listen(t)
+	for _, serve := range []func() error{
+		func() error { return platform.Serve(platformListener) },
+		func() error { return engine.Serve(engineListener) },
+		func() error { return engine.Run(ctx) },
+		func() error { return shop.Serve(shopListener) },
+	} {
+		go func() { _ = serve() }()
+	}
+	declare(t, platform, engineListener, shopListener)
+	return backend{platform: platformListener.Addr().String(), shop: shop}
+}
+
+func declare(t testing.TB, platform *lwtstandin.Platform, engine, shop net.Listener) {
+	t.Helper()
+	value, err := json.Marshal(lwtstate.New().WithChange(lwtstate.Change{
+		Number: 1,
+		Engines: []lwtstate.Engine{{
+			Name: "e1", Address: engine.Addr().String(), Role: lwtstate.RoleMixed, Models: []string{"m"},
+		}},
+		Models: []lwtstate.Model{{Name: "m", Version: "1"}},
+		Callers: []lwtstate.Caller{{
+			Name: "c1", KeyHash: lwtentry.KeyHash(callerKey), Models: []string{"m"}, Services: []string{"shop"},
+		}},
+		Services: []lwtstate.Service{{
+			Name:           "shop",
+			BackendServers: []lwtstate.BackendServer{{Address: shop.Addr().String()}},
+			Idempotent:     []lwtstate.Call{{Method: "GET", PathPrefix: "/stock"}},
+			Timeout:        lwtstate.Duration(10 * time.Second),
+		}},
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	platform.Table().Commit(lwtplatform.Transaction{Puts: []lwtplatform.Put{{Key: "config/head", Value: value}}})
+}
--- a/io/lwtdaemon/daemon.go
+++ b/io/lwtdaemon/daemon.go
@@ -82,7 +82,7 @@
 	daemon.observer = newObserver(settings.Name, daemon.declared, metrics.Scope())
 	daemon.limiter = newLimiter(daemon.declared, settings.Name)
 	daemon.claims = newClaims(daemon.platform, settings.Name, daemon.logger)
-	daemon.peers, daemon.members = newMembers(settings, listeners, daemon.platform, daemon.logger)
+	daemon.peers, daemon.members = newMembers(settings, listeners, daemon.declared, daemon.platform, daemon.logger)
 	daemon.entry = lwtentry.New(lwtentry.Dependencies{
 		Declared:         daemon.declared,
 		Router:           daemon.router,
--- a/io/lwtdaemon/members.go
+++ b/io/lwtdaemon/members.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 
 	"lacewingtide/core/lwtmember"
+	"lacewingtide/io/lwtentry"
 	"lacewingtide/io/lwtlog"
 	"lacewingtide/io/lwtloop"
 	"lacewingtide/io/lwtpeer"
@@ -27,6 +28,8 @@
 	// daemons read it about 12 times a second.
 	vmListInterval = 30 * time.Second
 	vmLeaving      = "leaving"
+	// trafficInterval is the time between two log lines about the traffic.
+	trafficInterval = 10 * time.Second
 )
 
 // memberLoop drives the membership model.
@@ -36,6 +39,9 @@
 // that the daemon itself was paused, and which configuration number is known.
 type members struct {
 	settings lwtsetting.Settings
+	declared lwtentry.Declared
+	// entry is where callers connect (IP:port).
+	entry    string
 	logger   log.Logger
 	platform *lwtplatform.Client
 	network  *lwtpeer.Network
@@ -49,19 +55,21 @@
 }
 
 func newMembers(
-	settings lwtsetting.Settings, listeners Listeners, platform *lwtplatform.Client, logger log.Logger,
+	settings lwtsetting.Settings, listeners Listeners, declared lwtentry.Declared, platform *lwtplatform.Client,
+	logger log.Logger,
 ) (*lwtpeer.Network, *members) {
 	now := time.Now()
 	self := lwtmember.Member{
 		Address:          orListener(settings.PeerAddress, listeners.Peer),
 		Name:             settings.Name,
-		EntryAddress:     orListener(settings.EntryAddress, listeners.Entry),
 		AvailabilityZone: settings.AvailabilityZone,
 		Boot:             uint64(now.UnixNano()),
 	}
 	identity := lwtpeer.Identity{Name: self.Name, Address: self.Address, Boot: self.Boot}
 	members := &members{
 		settings: settings,
+		declared: declared,
+		entry:    orListener(settings.EntryAddress, listeners.Entry),
 		logger:   logger,
 		platform: platform,
 		network:  lwtpeer.New(lwtpeer.DefaultOptions(identity, []byte(settings.PeerKey), logger)),
@@ -118,6 +126,8 @@
 	var parts sync.WaitGroup
 	defer parts.Wait()
 	parts.Go(func() { members.followVMs(ctx) })
+	parts.Go(func() { members.awaitState(ctx) })
+	parts.Go(func() { _ = lwtloop.Tick(ctx, trafficInterval, func(time.Time) { members.logTraffic() }) })
 	parts.Go(func() {
 		// Tick ends with ctx only.
 		_ = lwtloop.Tick(ctx, memberTick, func(time.Time) { members.loop.Send(ctx, lwtmember.Tick{}) })
@@ -125,6 +135,16 @@
 	return members.loop.Serve(ctx)
 }
 
+func (members *members) logTraffic() {
+	counters := members.network.Counters()
+	lwtlog.Debug(members.logger, "peer-traffic", "bytes-sent", counters.BytesSent.Load(),
+		"bytes-received", counters.BytesReceived.Load(), "messages-sent", counters.MessagesSent.Load(),
+		"messages-received", counters.MessagesReceived.Load(), "dropped", counters.Dropped.Load(),
+		"ignored", counters.Ignored.Load(), "silent", counters.Silent.Load(), "dials", counters.Dials.Load(),
+		"dials-failed", counters.DialsFailed.Load(), "refused", counters.Refused.Load(), "open", counters.Open.Load(),
+		"live", members.loop.Model().Live())
+}
+
 // String names the part in logs.
 func (members *members) String() string { return "members" }
 
@@ -164,6 +184,21 @@
 	}
 }
 
+// awaitState offers the daemon to callers once it has a state to serve by.
+func (members *members) awaitState(ctx context.Context) {
+	for {
+		if _, known := members.declared.State(); known {
+			members.loop.Send(ctx, lwtmember.SetEntryAddress{Address: members.entry})
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(memberTick):
+		}
+	}
+}
+
 // followVMs reads the VM list from time to time.
 func (members *members) followVMs(ctx context.Context) {
 	wait := time.Duration(0)
--- a/io/lwtdaemon/shutdown.go
+++ b/io/lwtdaemon/shutdown.go
@@ -46,7 +46,7 @@
 	}
 	err := daemon.entry.Shutdown()
 	daemon.peers.Close()
-	return errors.Join(err, closeListener(daemon.listeners.Peer))
+	return errors.Join(err, closeListener(daemon.listeners.Peer), closeListener(daemon.listeners.Operator))
 }
 
 // drainListener wraps the listener for callers. One that is no TCP listener is
