--- a/io/lwtdaemon/daemon.go
+++ b/io/lwtdaemon/daemon.go
@@ -95,7 +95,7 @@
 	daemon.operator.Handle("GET", "/metrics", metrics.Handle)
 	daemon.limiter = newLimiter(daemon.declared, settings.Name)
 	daemon.claims = newClaims(daemon.platform, settings.Name, daemon.logger)
-	daemon.peers, daemon.members = newMembers(settings, listeners, daemon.platform, daemon.logger)
+	daemon.peers, daemon.members = newMembers(settings, listeners, daemon.declared, daemon.platform, daemon.logger)
 	daemon.authority = newAuthority(runName(daemon.members.Model().Self()), daemon.declared, daemon.platform,
 		daemon.engines, daemon.logger)
 	daemon.drains = newDrains(daemon.authority.Draining, daemon.peers, daemon.logger)
