--- a/io/lwtcommand/serve.go
+++ b/io/lwtcommand/serve.go
@@ -27,19 +27,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	return lwtdaemon.New(settings, listeners, lwtlog.New(command.streams.err, settings.LogLevel)).Run(ctx)
-}
-
-type checkCommand struct {
-	Settings string `long:"settings" required:"true" description:"settings file (TOML)"`
-	streams  streams
-}
-
-// Execute implements flags.Commander.
-func (command *checkCommand) Execute([]string) error {
-	if _, err := lwtsetting.Load(command.Settings); err != nil {
+	var daemon *lwtdaemon.Daemon
+	if daemon, err = lwtdaemon.New(settings, listeners, lwtlog.New(command.streams.err, settings.LogLevel)); err != nil {
 		return err
 	}
-	command.streams.print(command.streams.out, "settings are valid")
-	return nil
+	return daemon.Run(ctx)
 }
--- a/io/lwtdaemon/retry_test.go
+++ b/io/lwtdaemon/retry_test.go
@@ -59,7 +59,10 @@
 	settings.EntryAddress = listeners.Entry.Addr().String()
 	settings.PeerKey, settings.Platform.Address = "0123456789abcdef", platform
 	settings.Platform.Timeout = lwtstate.Duration(time.Second)
-	daemon := lwtdaemon.New(settings, listeners, log.NewNopLogger())
+	daemon, err := lwtdaemon.New(settings, listeners, log.NewNopLogger())
+	if err != nil {
+		world.t.Fatal(err)
+	}
 	go func() { _ = daemon.Run(ctx) }()
 	world.daemons[name] = "http://" + settings.EntryAddress
 	for {
--- a/io/lwtentry/server.go
+++ b/io/lwtentry/server.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -108,6 +109,7 @@
 	ids          *idSource
 	retries      *retries
 	http         *fasthttp.Server
+	draining     atomic.Bool
 }
 
 // New returns a server.
@@ -117,7 +119,7 @@
 		dependencies.ReadTimeout = readTimeout
 	}
 	server.http = &fasthttp.Server{
-		Handler:               server.handle,
+		Handler:               server.answer,
 		ErrorHandler:          handleProtocolError,
 		MaxRequestBodySize:    maxBodyBytes,
 		ReadBufferSize:        maxHeaderBytes,
@@ -125,7 +127,7 @@
 		IdleTimeout:           idleTimeout,
 		Concurrency:           maxConnections,
 		NoDefaultServerHeader: true,
-		Logger:                connectionLog{dependencies.Logger},
+		Logger:                lwtlog.NewPrinter(dependencies.Logger, "caller-connection-failed"),
 		CloseOnShutdown:       true,
 		// Bodies of calls to services pass through unchanged.
 		DisablePreParseMultipartForm: true,
@@ -143,6 +145,15 @@
 	return server.http.Shutdown()
 }
 
+// answer handles a request. Handlers may replace the whole answer, so that the
+// connection's end is set last.
+func (server *Server) answer(ctx *fasthttp.RequestCtx) {
+	server.handle(ctx)
+	if server.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
 func (server *Server) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	if path == "/healthz" {
@@ -176,8 +187,8 @@
 	addresses, keep := server.dependencies.Addresses.Answer(time.Now(), caller.Name)
 	writeJSON(ctx, struct {
 		Addresses   []string `json:"entry-addresses"`
-		KeepSeconds int      `json:"keep-seconds"`
-	}{addresses, int(keep / time.Second)})
+		KeepSeconds float64  `json:"keep-seconds"`
+	}{addresses, keep.Seconds()})
 }
 
 func (server *Server) handleService(
--- a/io/lwtstandin/fleet.go
+++ b/io/lwtstandin/fleet.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"strings"
 	"time"
 
 	"lacewingtide/core/lwtstate"
-	"lacewingtide/io/lwtplatform"
 )
 
 // FleetOptions describe a fleet on loopback.
@@ -46,7 +44,7 @@
 	fleet := &Fleet{
 		Platform: NewPlatform(), Engines: map[string]*Engine{}, Shops: map[string]*FaultShop{},
 		Relays: map[string]*FaultRelay{}, options: options,
-		change: lwtstate.Change{Number: 1, Models: []lwtstate.Model{{Name: "m", Version: "1"}}, Callers: callers},
+		change: lwtstate.Change{Models: []lwtstate.Model{{Name: "m", Version: "1"}}, Callers: callers},
 	}
 	var err error
 	if fleet.Address, err = start(ctx, fleet.Platform.Serve); err != nil {
@@ -69,7 +67,7 @@
 		service.BackendServers = append(service.BackendServers, server)
 	}
 	fleet.change.Services = []lwtstate.Service{service}
-	return fleet, fleet.declare()
+	return fleet, fleet.Platform.Declare(fleet.change)
 }
 
 // start serves on a loopback address until ctx ends.
@@ -126,16 +124,6 @@
 	return start(ctx, relay.Serve)
 }
 
-func (fleet *Fleet) declare() error {
-	value, err := json.Marshal(lwtstate.New().WithChange(fleet.change))
-	if err != nil {
-		return fmt.Errorf("encode state: %w", err)
-	}
-	puts := []lwtplatform.Put{{Key: "config/head", Value: value}}
-	fleet.Platform.Table().Commit(lwtplatform.Transaction{Puts: puts})
-	return nil
-}
-
 // Ran returns how often all shops together ran an order.
 func (fleet *Fleet) Ran(order string) (count int) {
 	for _, shop := range fleet.Shops {
