--- a/io/lwtlog/log.go
+++ b/io/lwtlog/log.go
@@ -43,12 +43,13 @@
 	event  string
 }
 
-// NewPrinter returns a printer whose lines become warnings with an event name.
+// NewPrinter returns a printer whose lines become events of level debug:
+// broken connections are ordinary.
 func NewPrinter(logger log.Logger, event string) Printer {
 	return Printer{logger: logger, event: event}
 }
 
 // Printf implements the loggers of fasthttp and other libraries.
 func (printer Printer) Printf(format string, args ...any) {
-	Warn(printer.logger, printer.event, "detail", fmt.Sprintf(format, args...))
+	Debug(printer.logger, printer.event, "detail", fmt.Sprintf(format, args...))
 }
