--- a/io/lwtentry/completion.go
+++ b/io/lwtentry/completion.go
@@ -220,6 +220,7 @@
 		if err == nil {
 			call.placed = true
 			server.learn(choice, events)
+			server.abandon(state, call, failed)
 			return events, nil
 		}
 		failed = append(failed, choice)
@@ -235,6 +236,20 @@
 	}
 }
 
+// abandon cancels what other engines may still run of a request that has moved.
+func (server *Server) abandon(state lwtstate.State, call *completion, left []lwtrouter.Choice) {
+	for _, choice := range left {
+		address := state.Engines[choice.Engine].Address
+		if address == "" || address == call.engineAddress() {
+			continue
+		}
+		go func() {
+			// The engine may be gone or may never have had the request.
+			_ = server.dependencies.Engines.Cancel(address, call.id)
+		}()
+	}
+}
+
 // leave tells the router that the request has left its engine.
 func (server *Server) leave(call *completion, failed bool) {
 	if call.placed {
--- a/io/lwtentry/relay.go
+++ b/io/lwtentry/relay.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lacewingtide/core/lwtretry"
+	"lacewingtide/core/lwtrouter"
 	"lacewingtide/core/lwtstate"
 	"lacewingtide/core/lwtstream"
 	"lacewingtide/io/lwtengine"
@@ -199,11 +200,13 @@
 		return cause
 	}
 	state, _ := server.dependencies.Declared.State()
+	left := []lwtrouter.Choice{call.choice}
 	server.leave(call, true)
 	events, failure := server.place(state, call)
 	if failure != nil {
 		return errors.New(failure.Message)
 	}
+	server.abandon(state, call, left)
 	server.log(call.id, "stream-restarted", "engine", call.choice.Engine, "skip", relay.sequence.Next(), "err", cause)
 	relay.attach(events)
 	return nil
--- a/io/lwtstandin/fault_engine.go
+++ b/io/lwtstandin/fault_engine.go
@@ -76,6 +76,9 @@
 // equal runs are disturbed equally.
 func disturb(w *bufio.Writer, from *bufio.Reader) {
 	var kept []byte
+	if w.Flush() != nil { // sends the header before the first event
+		return
+	}
 	for {
 		event, err := readEvent(from)
 		if err != nil {
