--- a/core/lwtorder/choose.go
+++ b/core/lwtorder/choose.go
@@ -13,6 +13,7 @@
 	ReasonLastCopy = "it is the last serving copy of a model"
 	ReasonLoads    = "the group loads as many engines as it may"
 	ReasonUnread   = "the copies in the group are not counted yet"
+	ReasonHead     = "the declared state in force here is older than the table's"
 	ReasonStopping = "the daemon is shutting down"
 	ReasonTries    = "the last order had no effect"
 	ReasonLease    = "the lease ends too soon for the order-read-timeout"
@@ -31,6 +32,10 @@
 		}
 	}
 	var cmds []Cmd
+	if !model.headRead && !now.Before(model.headAt) {
+		model.headAt = now.Add(headTimeout)
+		cmds = append(cmds, ReadHead{Fencing: model.fencing})
+	}
 	for _, name := range model.byFewestCopies() {
 		if cmd := model.advance(now, name); cmd != nil {
 			cmds = append(cmds, cmd)
@@ -137,6 +142,9 @@
 	case model.stopping:
 		engine.reason = ReasonStopping
 		return engine, nil
+	case !model.headRead || model.state.Number < model.head:
+		engine.reason = ReasonHead
+		return engine, nil
 	case now.Before(engine.orderAt):
 		engine.reason = ReasonTries
 		return engine, nil
--- a/core/lwtorder/message.go
+++ b/core/lwtorder/message.go
@@ -89,6 +89,14 @@
 	Failed bool
 }
 
+// HeadRead answers a ReadHead with the number of the table's newest state.
+type HeadRead struct {
+	Fencing int64
+	Number  int64
+	// Failed says that no answer came.
+	Failed bool
+}
+
 // Ordered answers a SendOrder.
 type Ordered struct {
 	Engine  string
@@ -113,6 +121,7 @@
 func (Authority) orderMsg()  {}
 func (RoleWanted) orderMsg() {}
 func (StateRead) orderMsg()  {}
+func (HeadRead) orderMsg()   {}
 func (Ordered) orderMsg()    {}
 func (Reserved) orderMsg()   {}
 func (Stop) orderMsg()       {}
@@ -126,6 +135,10 @@
 	Attempt         int64
 }
 
+// ReadHead asks for the number of the newest declared state in the table, to be
+// answered by HeadRead.
+type ReadHead struct{ Fencing int64 }
+
 // SendOrder asks to send an order, to be answered by Ordered. The body may be
 // sent only while the lease with the order's fencing number lasts for Margin.
 type SendOrder struct {
@@ -169,6 +182,7 @@
 }
 
 func (ReadState) orderCmd()    {}
+func (ReadHead) orderCmd()     {}
 func (SendOrder) orderCmd()    {}
 func (Reserve) orderCmd()      {}
 func (Free) orderCmd()         {}
--- a/core/lwtorder/model.go
+++ b/core/lwtorder/model.go
@@ -29,6 +29,8 @@
 	maxOrderBackoff    = 30 * time.Second
 	changeReadInterval = 250 * time.Millisecond
 	maxReadBackoff     = 4 * time.Second
+	headInterval       = time.Second
+	headTimeout        = 10 * time.Second
 	reserveInterval    = 2 * time.Second
 	idleReadsNeeded    = 2
 )
@@ -47,6 +49,12 @@
 	sequence int64
 	attempts int64
 	ticked   time.Time
+	// head is the number of the newest state when the authority began; an
+	// earlier holder may have carried out orders of it. headRead says that it is
+	// known, headAt when to ask for it again.
+	head     int64
+	headRead bool
+	headAt   time.Time
 	// mayReserve says that reservation rows of the group may exist.
 	mayReserve bool
 	stopping   bool
@@ -85,6 +93,8 @@
 		model = model.tick(now)
 	case StateRead:
 		model = model.stateRead(now, msg)
+	case HeadRead:
+		model = model.readHead(now, msg)
 	case Ordered:
 		if engine, found := model.answered(msg.Engine, msg.Attempt); found && engine.phase == PhaseOrdering {
 			model.engines[msg.Engine] = engine.sent(now, msg.Outcome)
@@ -146,11 +156,23 @@
 		// A renewal that was slow can restore an authority after it lapsed; its
 		// orders go on counting.
 		model.fencing, model.sequence, model.roles = lease.Fencing, 0, nil
+		model.headRead, model.headAt = false, now
 	}
 	model.lease = lease
 	return model
 }
 
+func (model Model) readHead(now time.Time, msg HeadRead) Model {
+	switch {
+	case msg.Fencing != model.fencing:
+	case msg.Failed:
+		model.headAt = now.Add(headInterval)
+	default:
+		model.head, model.headRead = msg.Number, true
+	}
+	return model
+}
+
 func (model Model) reset(now time.Time) Model {
 	for name, engine := range model.engines {
 		model.engines[name] = engine.reset(now, model.lease.Until)
--- /dev/null
+++ b/core/lwtorder/naive_test.go
@@ -0,0 +1,115 @@
+package lwtorder_test
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lacewingtide/core/lwtorder"
+	"lacewingtide/core/lwtstate"
+)
+
+// naive is the reference: one process without failures that carries out each
+// declared state at once.
+type naive struct {
+	contents map[string][]lwtorder.Content
+}
+
+func (naive naive) declare(state lwtstate.State) {
+	for name, engine := range state.Engines {
+		naive.contents[name] = append(naive.contents[name], lwtorder.Declared(state, engine, engine.Role))
+	}
+}
+
+// compare checks that the orders that an engine took lead through the naive
+// version's contents in their order, by way of unions at most, and that the
+// engine ends as the naive version does.
+func (naive naive) compare(t *rapid.T, engine *fakeEngine) {
+	contents, position := naive.contents[engine.name], 0
+	for _, order := range engine.accepted {
+		found := slices.IndexFunc(contents[position:], func(content lwtorder.Content) bool {
+			return order.Equal(content) || (order.Extends(content) && order.Role == content.Role)
+		})
+		if found < 0 {
+			t.Fatalf("%s took %+v, which is not in %+v", engine.name, order, contents[position:])
+		}
+		position += found
+	}
+	last := contents[len(contents)-1]
+	if state := engine.state; state.Changing || !state.Content.Equal(last) {
+		t.Fatalf("%s ended as %+v, the naive version as %+v", engine.name, state, last)
+	}
+}
+
+// history generates a script: tickets and failures within a minute and a half.
+func history(t *rapid.T) string {
+	var text strings.Builder
+	text.WriteString("0s models a b\n")
+	kind := rapid.SampledFrom(kinds)
+	for i := range 4 {
+		fmt.Fprintf(&text, "0s engine e%d models=a,b %s\n", i+1, kind.Draw(t, "kind"))
+	}
+	engine := rapid.Map(rapid.IntRange(1, 4), func(i int) string { return fmt.Sprintf("e%d", i) })
+	models := rapid.SampledFrom([]string{"a", "b", "a,b"})
+	role := rapid.SampledFrom([]string{"mixed", "mixed", "prefill"})
+	span := rapid.Map(rapid.IntRange(1, 40), func(s int) string { return fmt.Sprintf("%ds", s) })
+	daemon := rapid.SampledFrom([]string{"holder", "holder", "d1", "d2", "d3"})
+	steps := rapid.IntRange(3, 14).Draw(t, "steps")
+	for range steps {
+		at := time.Duration(rapid.IntRange(10_000, 90_000).Draw(t, "at")) * time.Millisecond
+		line := rapid.OneOf(
+			rapid.Custom(func(t *rapid.T) string {
+				return "ticket " + engine.Draw(t, "e") + " models=" + models.Draw(t, "m") + " role=" + role.Draw(t, "r")
+			}),
+			rapid.Custom(func(t *rapid.T) string {
+				verb := rapid.SampledFrom([]string{"pause", "pause-after-check", "cut"}).Draw(t, "verb")
+				return verb + " " + daemon.Draw(t, "d") + " " + span.Draw(t, "span")
+			}),
+			rapid.Custom(func(t *rapid.T) string {
+				verb := rapid.SampledFrom([]string{"silent", "pause-engine", "delay-body", "restart"}).Draw(t, "verb")
+				return verb + " " + engine.Draw(t, "e") + " " + span.Draw(t, "span")
+			}),
+			rapid.Custom(func(t *rapid.T) string {
+				verb := rapid.SampledFrom([]string{"crash-halfway", "lose-order-answer"}).Draw(t, "verb")
+				return verb + " " + engine.Draw(t, "e")
+			}),
+			rapid.SampledFrom([]string{
+				"kill d1", "kill holder", "boot d1", "shutdown d2", "boot d2", "store-lose 2", "store-down 25s",
+				"store-slow 5s 30s",
+			}),
+		).Draw(t, "line")
+		fmt.Fprintf(&text, "%s %s\n", at, line)
+	}
+	return text.String() + "100s boot d3\n101s expect-nothing\n"
+}
+
+// TestAgainstNaive guards against any history of tickets and failures after
+// which an engine took an order that the naive version would not have given, or
+// took one against G1 or G3, or ends in another state.
+func TestAgainstNaive(t *testing.T) {
+	// A fixed seed gives the same verdict in every run.
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		text := history(rt)
+		world := newWorld(1, 3)
+		naive := naive{contents: map[string][]lwtorder.Content{}}
+		world.declared = naive.declare
+		runLines(t, "history", world, parseLines(t, text))
+		world.runUntil(240 * time.Second)
+		if len(world.violations) > 0 {
+			rt.Fatalf("violations %q after\n%s", world.violations, text)
+		}
+		for _, engine := range world.engines {
+			naive.compare(rt, engine)
+		}
+	})
+}
--- a/core/lwtorder/script_test.go
+++ b/core/lwtorder/script_test.go
@@ -54,7 +54,17 @@
 // guarantee was violated.
 func runScript(t *testing.T, name string, seed uint64, lines []line) *world {
 	t.Helper()
-	script := script{t: t, name: name, world: newWorld(seed, 3)}
+	world := newWorld(seed, 3)
+	runLines(t, name, world, lines)
+	for _, violation := range world.violations {
+		t.Errorf("%s: %s", name, violation)
+	}
+	return world
+}
+
+func runLines(t *testing.T, name string, world *world, lines []line) {
+	t.Helper()
+	script := script{t: t, name: name, world: world}
 	slices.SortStableFunc(lines, func(a, b line) int { return int(a.at - b.at) })
 	for _, line := range lines {
 		if line.at > 0 && script.world.now.Equal(script.world.start) {
@@ -63,10 +73,6 @@
 		script.world.runUntil(line.at)
 		script.execute(line)
 	}
-	for _, violation := range script.world.violations {
-		t.Errorf("%s: %s", name, violation)
-	}
-	return script.world
 }
 
 func (script *script) execute(line line) {
@@ -141,6 +147,12 @@
 		world.slowBy, world.storeSlow = script.duration(args[0]), script.until(args[1])
 	case "store-lose":
 		world.loseNext, _ = strconv.Atoi(args[0])
+	case "lag-declared":
+		for _, daemon := range world.daemons {
+			if daemon != script.daemon("holder") {
+				daemon.lag = script.duration(args[1])
+			}
+		}
 	case "watch":
 		world.watch(args[0])
 	case "role":
@@ -240,6 +252,7 @@
 func (script *script) check(command string, args []string) string {
 	world := script.world
 	switch command {
+	case "expect-nothing":
 	case "expect-converged":
 		return world.difference()
 	case "expect-models":
--- a/core/lwtorder/world_test.go
+++ b/core/lwtorder/world_test.go
@@ -40,6 +40,8 @@
 	loseNext   int
 	reads      int
 	writes     int
+	// declared, if set, learns each declared state.
+	declared   func(lwtstate.State)
 	violations []string
 	log        []string
 	// least and mostChanging are what watch saw.
@@ -80,6 +82,7 @@
 	leases  map[string]lwtlease.Model
 	orders  map[string]lwtorder.Model
 	number  int64
+	lag     time.Duration // of the declared state
 	atCheck time.Duration // pause between the check and the send of the next order
 	stop    bool
 }
@@ -151,11 +154,14 @@
 // declare puts a state in force at each daemon after up to two seconds.
 func (world *world) declare(state lwtstate.State) {
 	world.state = state
+	if world.declared != nil {
+		world.declared(state)
+	}
 	if world.now.Equal(world.start) {
 		return
 	}
 	for _, daemon := range world.daemons {
-		world.after(time.Duration(world.random.IntN(2000))*time.Millisecond, func() {
+		world.after(daemon.lag+time.Duration(world.random.IntN(2000))*time.Millisecond, func() {
 			daemon.deliver(func() { daemon.declare(state) })
 		})
 	}
@@ -332,6 +338,12 @@
 		daemon.readState(cmd, reply)
 	case lwtorder.SendOrder:
 		daemon.sendOrder(group, cmd, reply)
+	case lwtorder.ReadHead:
+		msg := lwtorder.HeadRead{Fencing: cmd.Fencing}
+		daemon.store(false, func() { msg.Number = world.state.Number }, func(failed bool) {
+			msg.Failed = failed
+			reply(msg)()
+		})
 	case lwtorder.RaiseFencing:
 		daemon.deliver(func() { daemon.update(group, lwtlease.Raise{Above: cmd.Above}, nil) })
 	case lwtorder.MarkDraining:
--- a/io/lwtdaemon/order.go
+++ b/io/lwtdaemon/order.go
@@ -19,6 +19,10 @@
 		authority.submit(authority.engineCalls, func() { answer(authority.readState(cmd)) }, func() {
 			answer(lwtorder.StateRead{Engine: cmd.Engine, Attempt: cmd.Attempt, Failed: true})
 		})
+	case lwtorder.ReadHead:
+		authority.submit(authority.storeCalls, func() { answer(authority.readHead(cmd)) }, func() {
+			answer(lwtorder.HeadRead{Fencing: cmd.Fencing, Failed: true})
+		})
 	case lwtorder.SendOrder:
 		authority.submit(authority.engineCalls, func() { answer(authority.sendOrder(group, cmd)) }, func() {
 			answer(lwtorder.Ordered{Engine: cmd.Engine, Attempt: cmd.Attempt, Outcome: lwtorder.OutcomeNotSent})
@@ -46,6 +50,25 @@
 	return lwtorder.StateRead{Engine: cmd.Engine, Attempt: cmd.Attempt, State: state, Failed: err != nil}
 }
 
+// readHead reads the number of the newest declared state. Without a row there
+// is no state to fall behind.
+func (authority *authority) readHead(cmd lwtorder.ReadHead) lwtorder.HeadRead {
+	var head struct {
+		Number int64 `json:"number"`
+	}
+	row, err := authority.platform.Row("config/head")
+	if err == nil {
+		err = json.Unmarshal(row.Value, &head)
+	}
+	if errors.Is(err, lwtplatform.ErrNotFound) {
+		err = nil
+	}
+	if err != nil {
+		lwtlog.Warn(authority.logger, "head-read-failed", "err", err)
+	}
+	return lwtorder.HeadRead{Fencing: cmd.Fencing, Number: head.Number, Failed: err != nil}
+}
+
 func (authority *authority) sendOrder(group string, cmd lwtorder.SendOrder) lwtorder.Ordered {
 	outcome, err := authority.engines.Order(cmd.Address, cmd.Order, func(now time.Time) bool {
 		return authority.mayOrder(now, group, cmd.Order.Fencing, cmd.Margin)
--- /dev/null
+++ b/io/lwtengine/order_test.go
@@ -0,0 +1,190 @@
+package lwtengine_test
+
+import (
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"lacewingtide/core/lwtlease"
+	"lacewingtide/core/lwtorder"
+	"lacewingtide/core/lwtstate"
+	"lacewingtide/io/lwtengine"
+	"lacewingtide/io/lwtstandin"
+)
+
+const readTimeout = 100 * time.Millisecond
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+// startEngine serves an engine that checks fencing numbers and has no read
+// timeout, or ignores them and has one.
+func startEngine(t *testing.T, checks bool, listener net.Listener) *lwtstandin.Engine {
+	t.Helper()
+	options := lwtstandin.DefaultEngineOptions("e1", "a")
+	options.ChangeTime = 0
+	options.ChecksFencing, options.OrderReadTimeout = checks, 0
+	if !checks {
+		options.OrderReadTimeout = readTimeout
+	}
+	engine := lwtstandin.NewEngine(options, 1)
+	go func() { _ = engine.Serve(listener) }()
+	return engine
+}
+
+func order(fencing, sequence int64) lwtorder.Order {
+	return lwtorder.Order{
+		Number: lwtorder.Number{Fencing: fencing, Sequence: sequence}, Incarnation: 1,
+		Content: lwtorder.Content{Role: lwtstate.RoleMixed, Models: map[string]string{"a": "1", "b": "1"}},
+	}
+}
+
+func expectOrders(t *testing.T, engine *lwtstandin.Engine, want ...lwtorder.Number) {
+	t.Helper()
+	accepted, conflicts, _ := engine.AcceptedOrders()
+	if len(accepted) != len(want) || conflicts != 0 {
+		t.Fatalf("accepted %+v with %d conflicts, want %v", accepted, conflicts, want)
+	}
+	for i, number := range want {
+		if accepted[i].Order.Number != number {
+			t.Errorf("accepted %+v, want %v", accepted, want)
+		}
+	}
+}
+
+// TestOrderArrives guards against an order that no engine takes.
+func TestOrderArrives(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		listener := listen(t)
+		engine := startEngine(t, checks, listener)
+		outcome, err := lwtengine.New().Order(listener.Addr().String(), order(1, 1), func(time.Time) bool { return true })
+		if outcome != lwtorder.OutcomeAccepted || err != nil {
+			t.Fatalf("checks %v: outcome %s, error %v", checks, outcome, err)
+		}
+		state, err := lwtengine.New().State(listener.Addr().String())
+		if err != nil || state.Content.Models["b"] != "1" || state.Last != (lwtorder.Number{Fencing: 1, Sequence: 1}) {
+			t.Errorf("checks %v: state %+v, error %v", checks, state, err)
+		}
+		expectOrders(t, engine, lwtorder.Number{Fencing: 1, Sequence: 1})
+	}
+}
+
+// TestHolderPausedBetweenCheckAndSend guards against an order that takes effect
+// after its sender lost the lease: the holder checks its lease, is paused beyond
+// the lease's end, and then sends the body.
+func TestHolderPausedBetweenCheckAndSend(t *testing.T) {
+	t.Run("engine ignores fencing numbers", func(t *testing.T) {
+		listener := listen(t)
+		engine := startEngine(t, false, listener)
+		margin := lwtlease.WithDrift(readTimeout)
+		lease := lwtlease.Lease{Fencing: 1, Until: time.Now().Add(time.Hour)}
+		outcome, _ := lwtengine.New().Order(listener.Addr().String(), order(1, 1), func(now time.Time) bool {
+			lease.Until = now.Add(margin + time.Millisecond)
+			valid := lease.Lasts(now, margin)
+			time.Sleep(time.Until(lease.Until) + readTimeout)
+			return valid
+		})
+		if outcome == lwtorder.OutcomeAccepted || outcome == lwtorder.OutcomeNotSent {
+			t.Errorf("outcome %s", outcome)
+		}
+		expectOrders(t, engine)
+	})
+	t.Run("engine checks fencing numbers", func(t *testing.T) {
+		listener := listen(t)
+		engine := startEngine(t, true, listener)
+		client, address := lwtengine.New(), listener.Addr().String()
+		outcome, _ := client.Order(address, order(1, 1), func(time.Time) bool {
+			// The successor orders during the pause.
+			outcome, err := client.Order(address, order(2, 1), func(time.Time) bool { return true })
+			if outcome != lwtorder.OutcomeAccepted || err != nil {
+				t.Errorf("successor: outcome %s, error %v", outcome, err)
+			}
+			return true
+		})
+		if outcome != lwtorder.OutcomeRefused {
+			t.Errorf("outcome %s", outcome)
+		}
+		expectOrders(t, engine, lwtorder.Number{Fencing: 2, Sequence: 1})
+	})
+}
+
+// TestHolderPausedBeforeCheck guards against a body that leaves after the lease
+// has ended.
+func TestHolderPausedBeforeCheck(t *testing.T) {
+	listener := listen(t)
+	engine := startEngine(t, false, listener)
+	lease := lwtlease.Lease{Fencing: 1, Until: time.Now()}
+	outcome, err := lwtengine.New().Order(listener.Addr().String(), order(1, 1), lease.Valid)
+	if outcome != lwtorder.OutcomeNotSent || !errors.Is(err, lwtengine.ErrNoAuthority) {
+		t.Errorf("outcome %s, error %v", outcome, err)
+	}
+	expectOrders(t, engine)
+}
+
+// TestEnginePausedWhileItReads guards against an engine that takes an order
+// after its read timeout because it was paused itself.
+func TestEnginePausedWhileItReads(t *testing.T) {
+	listener := listen(t)
+	engine := startEngine(t, false, listener)
+	outcome, _ := lwtengine.New().Order(listener.Addr().String(), order(1, 1), func(time.Time) bool {
+		resume := engine.Pause()
+		time.AfterFunc(2*readTimeout, resume)
+		return true
+	})
+	if outcome == lwtorder.OutcomeAccepted {
+		t.Errorf("outcome %s", outcome)
+	}
+	expectOrders(t, engine)
+}
+
+// swallowing never answers its first connections.
+type swallowing struct {
+	net.Listener
+	left int
+	// kept are the connections, which would be closed if they were collected.
+	kept []net.Conn
+}
+
+// Accept implements net.Listener.
+func (swallowing *swallowing) Accept() (net.Conn, error) {
+	for ; swallowing.left > 0; swallowing.left-- {
+		conn, err := swallowing.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		swallowing.kept = append(swallowing.kept, conn)
+	}
+	return swallowing.Listener.Accept()
+}
+
+// TestSilentConnection guards against waiting for ever on, or reusing, a
+// connection that went silent.
+func TestSilentConnection(t *testing.T) {
+	t.Parallel()
+	listener := &swallowing{Listener: listen(t), left: 2}
+	engine := startEngine(t, false, listener)
+	client, address := lwtengine.New(), listener.Addr().String()
+	began := time.Now()
+	if _, err := client.State(address); err == nil {
+		t.Error("the silent connection gave a state")
+	}
+	if outcome, err := client.Order(address, order(1, 1), func(time.Time) bool { return true }); err == nil ||
+		outcome != lwtorder.OutcomeNotSent {
+		t.Errorf("outcome %s, error %v", outcome, err)
+	}
+	if waited := time.Since(began); waited < 2*lwtengine.ProgressTimeout {
+		t.Errorf("gave up after %s", waited)
+	}
+	if _, err := client.State(address); err != nil {
+		t.Errorf("a new connection failed: %v", err)
+	}
+	expectOrders(t, engine)
+}
