--- a/core/lwtspread/model.go
+++ b/core/lwtspread/model.go
@@ -34,8 +34,14 @@
 	// numbers of its peers before it acts on the highest. It asks all of them
 	// once a second, because a predecessor at its address told only some of them.
 	settleTime = 3 * time.Second
-	// askInterval is the time between two questions of a starting daemon.
-	askInterval = time.Second
+	// askInterval is the time between the first questions of a starting daemon,
+	// and longAskInterval that between later ones. A fleet of 370 that starts
+	// without the store would otherwise exchange 136,000 questions a second.
+	askInterval     = time.Second
+	longAskInterval = 15 * time.Second
+	// shortAsks is the number of questions at the short interval. They cover
+	// the time in which a daemon collects the numbers of its peers.
+	shortAsks = 5
 	// fetchTimeout bounds the wait for a peer's answer.
 	fetchTimeout = time.Second
 	// retryWait is the time between two failed fetches.
@@ -60,6 +66,7 @@
 	polling   bool
 	nextPoll  time.Time
 	nextAsk   time.Time
+	asks      int
 	members   int
 	random    float64
 	// firstHeard is when a peer first told its number.
@@ -139,8 +146,8 @@
 	if model.fetch.active && model.fetch.member != "" && now.Sub(model.fetch.began) >= fetchTimeout {
 		model = model.fetched(now, false)
 	}
-	if model.forced == 0 && !now.Before(model.nextAsk) {
-		model.nextAsk = now.Add(askInterval)
+	if model.forced == 0 && !model.storeSeen && !now.Before(model.nextAsk) {
+		model = model.asked(now)
 		cmds = append(cmds, Ask{})
 	}
 	if !model.polling && !now.Before(model.nextPoll) {
@@ -153,6 +160,16 @@
 	return model, cmds
 }
 
+// asked notes a question to all peers.
+func (model Model) asked(now time.Time) Model {
+	model.asks++
+	model.nextAsk = now.Add(askInterval)
+	if model.asks >= shortAsks {
+		model.nextAsk = now.Add(longAskInterval)
+	}
+	return model
+}
+
 func (model Model) headRead(now time.Time, msg HeadRead) Model {
 	model = model.polled(now)
 	model.storeSeen = true
