--- a/io/lwtcommand/command.go
+++ b/io/lwtcommand/command.go
@@ -25,17 +25,25 @@
 // Main runs the command line and returns its exit code.
 func Main(args []string, out, errors io.Writer) int {
 	streams := streams{out: out, err: errors}
+	parser, err := newParser(streams)
+	if err != nil {
+		return streams.fail(err)
+	}
+	_, err = parser.ParseArgs(args)
+	return streams.exit(err)
+}
+
+func newParser(streams streams) (*flags.Parser, error) {
 	parser := flags.NewNamedParser("lacewingtide", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = "Lacewingtide serves model requests for a fixed fleet of engines.\n\n" +
 		"Exit codes: 0 done, 1 refused or failed, 2 wrong usage."
 	parser.CommandHandler = execute
 	for _, command := range commands(streams) {
 		if _, err := parser.AddCommand(command.name, command.short, command.long, command.data); err != nil {
-			return streams.fail(err)
+			return nil, err
 		}
 	}
-	_, err := parser.ParseArgs(args)
-	return streams.exit(err)
+	return parser, nil
 }
 
 // execute runs a command. Words that no argument takes are wrong usage.
--- a/io/lwtdaemon/declared_test.go
+++ b/io/lwtdaemon/declared_test.go
@@ -12,7 +12,10 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log"
 
+	"lacewingtide/core/lwtstate"
 	"lacewingtide/core/lwtticket"
+	"lacewingtide/io/lwtoperator"
+	"lacewingtide/io/lwtpeer"
 	"lacewingtide/io/lwtplatform"
 	"lacewingtide/io/lwtstandin"
 )
@@ -224,3 +227,42 @@
 		t.Errorf("%d reads to start, want a snapshot and a few tickets", after-before)
 	}
 }
+
+// TestTargetStateFitsOneMessage guards against a fleet of the target size whose
+// daemons can't start from their peers, because a state is too large to send.
+func TestTargetStateFitsOneMessage(t *testing.T) {
+	state := targetState()
+	encoded, err := cbor.Marshal(ticketAnswer{Number: 1, State: &state})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d bytes", len(encoded))
+	if len(encoded) > lwtpeer.MaxMessageBytes {
+		t.Errorf("%d bytes, a message holds %d", len(encoded), lwtpeer.MaxMessageBytes)
+	}
+}
+
+// targetState has the engines, callers, models and services of the target size.
+func targetState() lwtstate.State {
+	change := lwtstate.Change{Number: 1}
+	models := []string{}
+	for i := range 4 {
+		models = append(models, fmt.Sprintf("garden-assistant-%d", i))
+		change.Models = append(change.Models, lwtstate.Model{Name: models[i], Version: "2026-12-04", MemoryBlocks: 640})
+	}
+	for i := range 600 {
+		change.Engines = append(change.Engines, lwtstate.Engine{
+			Name: fmt.Sprintf("engine-%03d", i), Address: fmt.Sprintf("10.1.%d.%d:9000", i/250, i%250),
+			AvailabilityZone: "ro-central-a", Group: fmt.Sprintf("group-%03d", i/4), Role: lwtstate.RoleMixed,
+			PlannerRoles: []lwtstate.Role{lwtstate.RolePrefill, lwtstate.RoleDecode}, Models: models[:2],
+			Adapters: []string{"catalogue-match", "shop-chat"}, MemoryBlocks: 2048, ChecksFencing: true,
+		})
+	}
+	for i := range 870 {
+		change.Callers = append(change.Callers, lwtstate.Caller{
+			Name: fmt.Sprintf("customer-%03d", i), KeyHash: lwtoperator.KeyHash(fmt.Sprint(i)), Models: models,
+			Services: []string{"shop"}, Rate: 30, Concurrency: 100,
+		})
+	}
+	return lwtstate.New().WithChange(change)
+}
--- a/io/lwtplatform/client.go
+++ b/io/lwtplatform/client.go
@@ -94,6 +94,7 @@
 			Addr:                      address,
 			Dial:                      dial,
 			MaxConns:                  maxConnections,
+			MaxIdleConnDuration:       idleTimeout,
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                neverRetry,
 		},
@@ -110,6 +111,10 @@
 const (
 	maxConnections = 64
 	dialTimeout    = time.Second
+	// idleTimeout is shorter than the time for which a server keeps an idle
+	// connection. A call on a connection that the server has closed counts as
+	// lost, and the poll of a large fleet would meet one each time.
+	idleTimeout = 2 * time.Second
 	// fleetCallsPerSecond is what all daemons together may ask of the store,
 	// about half of what it handles.
 	fleetCallsPerSecond = 1000
