--- a/core/lwtadmission/admission.go
+++ b/core/lwtadmission/admission.go
@@ -18,6 +18,8 @@
 	FirstToken    time.Duration
 	Whole         time.Duration
 	BetweenTokens time.Duration
+	// Full says that the engine lacks memory for the request.
+	Full bool
 }
 
 // Verdict is the decision on a request. A nil Rejection admits it.
@@ -45,6 +47,9 @@
 	marginRise = marginFall / 50
 	// leastRetry keeps callers from retrying within one load report.
 	leastRetry = 250 * time.Millisecond
+	// memoryRetry is the share of the time of an answer after which a tenth
+	// of the memory is expected to be free again.
+	memoryRetry = 0.1
 )
 
 // Admission admits or rejects requests for one daemon. It is changed in place
@@ -86,6 +91,9 @@
 	if limit := admission.policy.BetweenTokens; limit > 0 && estimate.BetweenTokens > limit {
 		return rejected("capacity", capacityRetry(estimate, limit))
 	}
+	if estimate.Full {
+		return rejected("memory", time.Duration(memoryRetry*float64(estimate.Whole)))
+	}
 	margin := *admission.margin(request.Class)
 	if excess := exceeds(objective.FirstToken, margin, request.Waited+estimate.FirstToken); excess > 0 {
 		return rejected("deadline", excess)
--- a/core/lwtadmission/length.go
+++ b/core/lwtadmission/length.go
@@ -2,8 +2,14 @@
 
 import "lacewingtide/core/lwtstate"
 
-// lengthWeight is the weight of the last answer in the mean length of its class.
-const lengthWeight = 0.01
+const (
+	// lengthWeight is the weight of the last answer in the mean length of its class.
+	lengthWeight = 0.01
+	// firstLength is the expected length, in tokens, before a class has an
+	// answer. It is short: a class that is expected to be too long for its
+	// deadline would be rejected and so never be learned.
+	firstLength = 32
+)
 
 // Lengths learns how long the answers of each class are. Callers' limits say
 // little: most answers end long before them.
@@ -28,7 +34,7 @@
 func (lengths *Lengths) Expected(class lwtstate.Class, limit int) int {
 	mean, found := lengths.means[class]
 	if !found {
-		return limit
+		mean = firstLength
 	}
 	return max(1, min(limit, int(mean)))
 }
--- a/core/lwtmix/daemon.go
+++ b/core/lwtmix/daemon.go
@@ -1,6 +1,7 @@
 package lwtmix
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -58,13 +59,13 @@
 		return &lwtadmission.Rejection{Reason: "no_engine", RetryAfter: time.Second}
 	}
 	if j.attempts == 0 {
-		daemon.meter = daemon.meter.WithRequest(now,
-			float64(j.request.PromptTokens-choice.CachedTokens), float64(j.request.OutputTokens))
+		daemon.meter = daemon.meter.WithRequest(now, lwtplanner.Work(
+			float64(j.request.PromptTokens), float64(choice.CachedTokens), float64(j.request.OutputTokens)))
 	}
 	verdict := daemon.admission.Decide(now, lwtadmission.Request{
 		Class: j.request.Class, Waited: time.Duration(now.UnixNano() - j.arrival.At),
 	}, lwtadmission.Estimate{
-		FirstToken: choice.FirstToken, Whole: choice.Whole, BetweenTokens: choice.BetweenTokens,
+		FirstToken: choice.FirstToken, Whole: choice.Whole, BetweenTokens: choice.BetweenTokens, Full: choice.Full,
 	})
 	// A request that began to run is not given up when its engine is lost.
 	if verdict.Rejection != nil && j.starts == 0 {
@@ -97,3 +98,15 @@
 	daemon.next++
 	return best
 }
+
+// longAnswer is the length of a long answer as a multiple of the mean of its class.
+const longAnswer = 2
+
+// streamTime returns the time of a long answer of the class with the longest.
+func (daemon *daemon) streamTime(state lwtstate.State) time.Duration {
+	most := 0
+	for class := range state.Objectives {
+		most = max(most, daemon.lengths.Expected(class, math.MaxInt))
+	}
+	return longAnswer * time.Duration(most) * lwtrouter.DefaultBetweenTokens
+}
--- a/core/lwtmix/deployment.go
+++ b/core/lwtmix/deployment.go
@@ -73,7 +73,7 @@
 	return Deployment{
 		Name:  "cristalier",
 		Zones: []string{"ro-central-1", "ro-central-2", "ro-central-3"},
-		Fixed: roles(5, 7, 0),
+		Fixed: roles(5, 1, 6),
 		Objectives: []lwtstate.Objective{
 			objective(lwtstate.ClassChat, 610*time.Millisecond, 20*time.Second),
 			objective(lwtstate.ClassMatch, 3*time.Second, 8*time.Second),
@@ -99,14 +99,14 @@
 	return Deployment{
 		Name:  "himalchhat",
 		Zones: []string{"bagmati-1", "bagmati-2", "bagmati-3"},
-		Fixed: roles(4, 8, 0),
+		Fixed: roles(6, 2, 4),
 		Objectives: []lwtstate.Objective{
 			objective(lwtstate.ClassChat, 610*time.Millisecond, 20*time.Second),
 			objective(lwtstate.ClassPlan, 3*time.Second, 90*time.Second),
 			objective(lwtstate.ClassLookup, 400*time.Millisecond, 2*time.Second),
 			objective(lwtstate.ClassOrder, 610*time.Millisecond, 4*time.Second),
 		},
-		ChangeCost: 200,
+		ChangeCost: 400,
 		classes: []classLoad{
 			{
 				class: lwtstate.ClassChat, low: 0.87, high: 0.65, prompt: 2500, output: 200,
@@ -154,11 +154,10 @@
 }
 
 func (deployment Deployment) demand(swing float64) lwtplanner.Demand {
-	demand := lwtplanner.Demand{Requests: 1}
+	var demand lwtplanner.Demand
 	for _, load := range deployment.classes {
 		share := load.low + (load.high-load.low)*swing
-		demand.PrefillTokens += share * float64(load.prompt)
-		demand.DecodeTokens += share * float64(load.output)
+		demand = demand.Plus(lwtplanner.Work(float64(load.prompt), 0, float64(load.output)).Times(share))
 	}
 	return demand
 }
@@ -170,19 +169,13 @@
 	return rate
 }
 
+// speedsFor returns the speeds of the modelled engines under a demand.
+func speedsFor(demand lwtplanner.Demand) lwtplanner.Speeds {
+	return lwtplanner.NewSpeeds(lwtrouter.DefaultRates(), memoryBlocks*blockTokens, demand)
+}
+
 // BestFixed returns the roles that serve the middle of the swing best, and
 // their capacity in requests per second.
 func (deployment Deployment) BestFixed() (lwtplanner.Counts, float64) {
-	speeds := lwtplanner.NewSpeeds(lwtrouter.DefaultRates())
-	var best lwtplanner.Counts
-	most := 0.0
-	for prefill := 0; prefill <= engineCount; prefill++ {
-		for decode := 0; prefill+decode <= engineCount; decode++ {
-			counts := lwtplanner.Counts{Prefill: prefill, Decode: decode, Mixed: engineCount - prefill - decode}
-			if rate := lwtplanner.Capacity(counts, deployment.MeanDemand(), speeds); rate > most {
-				best, most = counts, rate
-			}
-		}
-	}
-	return best, most
+	return bestCounts(deployment.MeanDemand(), engineCount)
 }
--- a/core/lwtmix/engine.go
+++ b/core/lwtmix/engine.go
@@ -29,6 +29,7 @@
 	priority   int
 	engine     *engine
 	decodeAt   *engine
+	sentAt     int64
 	firstAt    int64
 	doneAt     int64
 	attempts   int
@@ -112,6 +113,9 @@
 			head := engine.queues[priority][0]
 			if now > head.arrival.At+int64(head.arrival.whole) {
 				head.abandoned = true
+				if head.decodeAt != engine {
+					head.decodeAt.inbound--
+				}
 				engine.waiting[priority] -= head.promptLeft
 				engine.queues[priority] = engine.queues[priority][1:]
 				continue
@@ -164,7 +168,7 @@
 	report := lwtrouter.Report{
 		Incarnation: engine.incarnation, Role: engine.role, Changing: engine.changing,
 		Running:     len(engine.running) + len(engine.ready),
-		FreeBlocks:  memoryBlocks - engine.memory/lwtrouter.BlockTokens,
+		FreeBlocks:  memoryBlocks - (engine.memory+engine.readyTokens())/lwtrouter.BlockTokens,
 		PrefillRate: engine.rates.PrefillRate,
 	}
 	report.WaitingTokens = engine.waiting
@@ -197,6 +201,11 @@
 	for _, stream := range engine.running {
 		lost = append(lost, stream.job)
 	}
+	for _, j := range lost {
+		if j.engine == engine && j.decodeAt != engine {
+			j.decodeAt.inbound--
+		}
+	}
 	engine.ready, engine.filled, engine.running, engine.fresh, engine.memory = nil, nil, nil, nil, 0
 	engine.waiting = [lwtrouter.Priorities]int{}
 	engine.cache = newPrefixCache(cacheBlocks)
@@ -243,3 +252,11 @@
 	}
 	return count
 }
+
+func (engine *engine) readyTokens() int {
+	tokens := 0
+	for _, j := range engine.ready {
+		tokens += j.arrival.Prompt + j.arrival.Output
+	}
+	return tokens
+}
--- a/core/lwtmix/roles.go
+++ b/core/lwtmix/roles.go
@@ -1,10 +1,10 @@
 package lwtmix
 
 import (
+	"fmt"
 	"time"
 
 	"lacewingtide/core/lwtplanner"
-	"lacewingtide/core/lwtrouter"
 	"lacewingtide/core/lwtstate"
 )
 
@@ -33,6 +33,24 @@
 			daemon.digest = daemon.meter.Demand(at(now))
 		}
 	}
+	if now%int64(sampleInterval) == 0 {
+		run.past = append(run.past, run.demand())
+		run.past = run.past[max(0, len(run.past)-pastSamples):]
+	}
+}
+
+// Samples of the past demand that the planner goes by.
+const (
+	sampleInterval = 20 * time.Second
+	pastSamples    = 18
+)
+
+func (run *run) demand() lwtplanner.Demand {
+	var demand lwtplanner.Demand
+	for _, daemon := range run.daemons {
+		demand = demand.Plus(daemon.digest)
+	}
+	return demand
 }
 
 func (run *run) plan(now int64, group int) {
@@ -40,17 +58,41 @@
 	if holder.down {
 		holder = run.daemons[(group+1)%daemonCount]
 	}
-	view := lwtplanner.View{Speeds: lwtplanner.NewSpeeds(lwtrouter.DefaultRates())}
-	for _, daemon := range run.daemons {
-		view.Demand = view.Demand.Plus(daemon.digest)
+	view := lwtplanner.View{
+		Demand: run.demand(), Past: run.past, Speeds: speedsFor, StreamTime: holder.streamTime(run.state),
 	}
 	for i, status := range holder.router.View().Statuses(at(now)) {
 		view.Engines = append(view.Engines, lwtplanner.Engine{
 			Name: status.Name, Role: status.Role, Allowed: lwtplanner.Allowed(status.Declared),
-			Group: i/groupSize == group, InService: status.Available, Changing: status.Changing,
+			Target: run.byName[status.Name].target,
+			Group:  i/groupSize == group, InService: status.InService,
 			Running: status.Running, ReportedAt: status.ReportedAt, ChangedAt: run.changedAt[status.Name],
 		})
 	}
+	if debugPlan != nil {
+		c := map[string]int{}
+		for _, e := range view.Engines {
+			k := string(e.Role)
+			if !e.InService {
+				k += "-out"
+			}
+			if e.Target != "" {
+				k += "-ch"
+			}
+			if at(now).Sub(e.ReportedAt) > 5e9 {
+				k += "-stale"
+			}
+			c[k]++
+		}
+
+		var cc lwtplanner.Counts
+		for _, e := range view.Engines {
+			if e.InService && e.Target == "" {
+				*cc.Of(e.Role)++
+			}
+		}
+		debugPlan(now, group, fmt.Sprintf("%.0f r %.0f p %.0f d cap %.2f %v", view.Demand.Requests, view.Demand.PrefillTokens, view.Demand.DecodeTokens, lwtplanner.Capacity(cc, view.Demand, speedsFor(view.Demand)), c))
+	}
 	for _, change := range lwtplanner.Plan(at(now), view, run.policy.Planner) {
 		run.want(now, run.byName[change.Engine], change.Role)
 	}
@@ -60,6 +102,8 @@
 const (
 	foreseeInterval = 2 * time.Second
 	foreseeAhead    = 10 * time.Second
+	// worthwhile is the share of the best capacity from which roles are kept.
+	worthwhile = 0.97
 )
 
 // foresee sets the best roles for the arrivals of the near future at once,
@@ -77,7 +121,10 @@
 			*current.Of(engine.role)++
 		}
 	}
-	wanted := bestCounts(demand, total)
+	wanted, best := bestCounts(demand, total)
+	if lwtplanner.Capacity(current, demand, speedsFor(demand)) > worthwhile*best {
+		return
+	}
 	for _, from := range []lwtstate.Role{lwtstate.RolePrefill, lwtstate.RoleDecode, lwtstate.RoleMixed} {
 		for *current.Of(from) > *wanted.Of(from) {
 			to := lwtstate.RoleMixed
@@ -98,13 +145,9 @@
 func (run *run) coming(now int64) lwtplanner.Demand {
 	var demand lwtplanner.Demand
 	for i := run.firstAfter(now); i < len(run.arrivals) && run.arrivals[i].At < now+int64(foreseeAhead); i++ {
-		prefill := run.arrivals[i].Prompt
-		if len(run.arrivals[i].Prefixes) > 0 {
-			prefill -= int(cachedShare * float64(len(run.arrivals[i].Prefixes)*blockTokens))
-		}
-		demand = demand.Plus(lwtplanner.Demand{
-			Requests: 1, PrefillTokens: float64(prefill), DecodeTokens: float64(run.arrivals[i].Output),
-		})
+		arrival := &run.arrivals[i]
+		cached := cachedShare * float64(len(arrival.Prefixes)*blockTokens)
+		demand = demand.Plus(lwtplanner.Work(float64(arrival.Prompt), cached, float64(arrival.Output)))
 	}
 	return demand.Times(1 / foreseeAhead.Seconds())
 }
@@ -113,8 +156,10 @@
 // expects to find.
 const cachedShare = 0.7
 
-func bestCounts(demand lwtplanner.Demand, total int) lwtplanner.Counts {
-	speeds := lwtplanner.NewSpeeds(lwtrouter.DefaultRates())
+// bestCounts returns the roles of a number of engines that serve the largest
+// multiple of a demand, and the multiple.
+func bestCounts(demand lwtplanner.Demand, total int) (lwtplanner.Counts, float64) {
+	speeds := speedsFor(demand)
 	var best lwtplanner.Counts
 	most := -1.0
 	for prefill := 0; prefill <= total; prefill++ {
@@ -125,7 +170,7 @@
 			}
 		}
 	}
-	return best
+	return best, most
 }
 
 // convert changes the role of the engine with the fewest streams.
@@ -200,3 +245,5 @@
 	}
 	return low
 }
+
+var debugPlan func(now int64, group int, v any)
--- a/core/lwtmix/run.go
+++ b/core/lwtmix/run.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"lacewingtide/core/lwtplanner"
 	"lacewingtide/core/lwtrouter"
 	"lacewingtide/core/lwtstate"
 )
@@ -45,6 +46,7 @@
 	end        int64
 	tally      tally
 	changedAt  map[string]time.Time
+	past       []lwtplanner.Demand
 }
 
 // Run runs one policy on arrivals and returns what became of them.
@@ -185,6 +187,7 @@
 
 func (run *run) sent(now int64, daemon *daemon, j *job) {
 	j.starts++
+	j.sentAt = now
 	daemon.outstanding[j.engine]++
 	if j.decodeAt != j.engine {
 		j.decodeAt.inbound++
--- a/core/lwtmix/step.go
+++ b/core/lwtmix/step.go
@@ -31,7 +31,7 @@
 	engine.steps++
 	run.tally.step(engine.stepTime, len(engine.running))
 	for _, j := range engine.fresh {
-		j.firstAt = now
+		run.firstToken(now, j)
 	}
 	engine.fresh = engine.fresh[:0]
 	for _, j := range engine.filled {
@@ -47,9 +47,7 @@
 func (run *run) prefilled(now int64, engine *engine, j *job) {
 	engine.cache.store(j.arrival.Prefixes)
 	if j.decodeAt == engine {
-		if j.firstAt == 0 {
-			j.firstAt = now
-		}
+		run.firstToken(now, j)
 		engine.ready = append(engine.ready, j)
 		return
 	}
@@ -57,16 +55,26 @@
 	daemon.outstanding[engine]--
 	target, incarnation := j.decodeAt, j.decodeAt.incarnation
 	run.time.add(now+int64(engine.rates.Transfer(j.arrival.Prompt)), func(now int64) {
+		target.inbound--
 		if target.incarnation != incarnation {
 			run.restart(now, j)
 			return
 		}
-		target.inbound--
 		target.ready = append(target.ready, j)
 		run.wake(now, target)
 	})
 }
 
+func (run *run) firstToken(now int64, j *job) {
+	if j.firstAt != 0 {
+		return
+	}
+	j.firstAt = now
+	if run.policy.Simple == "" {
+		run.daemons[j.daemon].router.View().WithFirstToken(j.request, j.choice, time.Duration(now-j.sentAt))
+	}
+}
+
 func (run *run) done(now int64, j *job) {
 	j.doneAt = now
 	daemon := run.daemons[j.daemon]
@@ -146,7 +154,7 @@
 
 func (run *run) crash(now int64, engine *engine) {
 	lost := engine.crash()
-	engine.next, engine.inbound = 0, 0
+	engine.next = 0
 	for _, j := range lost {
 		run.restart(now, j)
 	}
--- a/core/lwtplanner/capacity.go
+++ b/core/lwtplanner/capacity.go
@@ -1,6 +1,10 @@
 package lwtplanner
 
-import "lacewingtide/core/lwtrouter"
+import (
+	"math"
+
+	"lacewingtide/core/lwtrouter"
+)
 
 // Demand is the work offered to a group of engines per second.
 type Demand struct {
@@ -8,19 +12,29 @@
 	// PrefillTokens leaves out what prefix caches save.
 	PrefillTokens float64
 	DecodeTokens  float64
+	// HeldTokens is the memory that the decode of each token holds: the
+	// tokens of prompt and answer, summed over the DecodeTokens.
+	HeldTokens float64
+}
+
+// Work returns the demand of one request with the given lengths.
+func Work(prompt, cached, output float64) Demand {
+	return Demand{Requests: 1, PrefillTokens: prompt - cached, DecodeTokens: output, HeldTokens: output * (prompt + output)}
 }
 
 // Plus returns the sum of two demands.
 func (demand Demand) Plus(other Demand) Demand {
 	return Demand{
 		demand.Requests + other.Requests, demand.PrefillTokens + other.PrefillTokens,
-		demand.DecodeTokens + other.DecodeTokens,
+		demand.DecodeTokens + other.DecodeTokens, demand.HeldTokens + other.HeldTokens,
 	}
 }
 
 // Times returns the demand multiplied by a factor.
 func (demand Demand) Times(factor float64) Demand {
-	return Demand{demand.Requests * factor, demand.PrefillTokens * factor, demand.DecodeTokens * factor}
+	return Demand{
+		demand.Requests * factor, demand.PrefillTokens * factor, demand.DecodeTokens * factor, demand.HeldTokens * factor,
+	}
 }
 
 // Counts are the engines in service by role.
@@ -42,18 +56,27 @@
 	BothPrefill, BothDecode   float64
 }
 
-// NewSpeeds returns the speeds of engines with given rates.
-func NewSpeeds(rates lwtrouter.Rates) Speeds {
+// memoryUse is the share of an engine's memory that streams fill on average.
+// Lengths differ, so engines turn work away well before the mean fills them.
+const memoryUse = 0.75
+
+// NewSpeeds returns the speeds of engines with given rates and memory, whose
+// streams hold memory as the demand says.
+func NewSpeeds(rates lwtrouter.Rates, memoryTokens float64, demand Demand) Speeds {
 	limit := lwtrouter.DefaultBetweenTokens
-	decodeStreams := int((limit - rates.StepBase) / rates.StepPerStream)
-	mixedStreams := int((limit - rates.Step(0, rates.MixedChunk)) / rates.StepPerStream)
+	most := math.MaxInt
+	if demand.HeldTokens > 0 {
+		most = max(1, int(memoryUse*memoryTokens/(demand.HeldTokens/demand.DecodeTokens)))
+	}
+	decode := min(most, int((limit-rates.StepBase)/rates.StepPerStream))
+	mixed := min(most, int((limit-rates.Step(0, rates.MixedChunk))/rates.StepPerStream))
 	return Speeds{
 		Prefill:      float64(rates.PrefillChunk) / rates.Step(0, rates.PrefillChunk).Seconds(),
-		Decode:       float64(decodeStreams) / rates.Step(decodeStreams, 0).Seconds(),
+		Decode:       float64(decode) / rates.Step(decode, 0).Seconds(),
 		MixedPrefill: float64(rates.MixedChunk) / rates.Step(0, rates.MixedChunk).Seconds(),
-		MixedDecode:  float64(mixedStreams) / rates.Step(mixedStreams, 0).Seconds(),
-		BothPrefill:  float64(rates.MixedChunk) / limit.Seconds(),
-		BothDecode:   float64(mixedStreams) / limit.Seconds(),
+		MixedDecode:  float64(decode) / rates.Step(decode, 0).Seconds(),
+		BothPrefill:  float64(rates.MixedChunk) / rates.Step(mixed, rates.MixedChunk).Seconds(),
+		BothDecode:   float64(mixed) / rates.Step(mixed, rates.MixedChunk).Seconds(),
 	}
 }
 
--- a/core/lwtplanner/meter.go
+++ b/core/lwtplanner/meter.go
@@ -17,9 +17,9 @@
 func NewMeter(span time.Duration) Meter { return Meter{span: span} }
 
 // WithRequest adds a request.
-func (meter Meter) WithRequest(now time.Time, prefillTokens, decodeTokens float64) Meter {
+func (meter Meter) WithRequest(now time.Time, work Demand) Meter {
 	meter = meter.decayed(now)
-	meter.sum = meter.sum.Plus(Demand{1, prefillTokens, decodeTokens})
+	meter.sum = meter.sum.Plus(work)
 	return meter
 }
 
--- a/core/lwtplanner/plan.go
+++ b/core/lwtplanner/plan.go
@@ -11,17 +11,20 @@
 // Engine is one engine as the planner sees it.
 type Engine struct {
 	Name string
+	// Role is the role last reported.
 	Role lwtstate.Role
+	// Target is the role of a change under way; empty when there is none.
+	Target lwtstate.Role
 	// Allowed are the roles that the declared state allows.
 	Allowed []lwtstate.Role
 	// Group says that this planner may change the engine; it counts the
 	// others as part of the fleet.
 	Group bool
-	// InService is false for an engine that takes no new work.
+	// InService is false for an engine that takes no new work for another
+	// reason than a change of role.
 	InService bool
-	// Changing says that a change of role is under way.
-	Changing bool
-	Running  int
+	// Running are the requests on the engine.
+	Running int
 	// ReportedAt is the time of the last report.
 	ReportedAt time.Time
 	// ChangedAt is the time of the last change of role.
@@ -31,8 +34,15 @@
 // View is what a plan is made from.
 type View struct {
 	Engines []Engine
-	Demand  Demand
-	Speeds  Speeds
+	// Demand is the demand of the moment.
+	Demand Demand
+	// Past are samples of the demand of the last minutes, which say what
+	// mixes are likely to return.
+	Past []Demand
+	// Speeds returns the speeds of an engine under a demand.
+	Speeds func(Demand) Speeds
+	// StreamTime is the time of a long answer, which a drain waits for.
+	StreamTime time.Duration
 }
 
 // Policy weighs goodput against role changes.
@@ -41,28 +51,32 @@
 	ChangeCost float64
 	// MinDwell is the least time between two changes of one engine.
 	MinDwell time.Duration
-	// Horizon is the time over which a change is expected to pay.
-	Horizon time.Duration
+	// Now is the time for which the demand of the moment is expected to last,
+	// and Later the time after it, for which the past demand is.
+	Now   time.Duration
+	Later time.Duration
 	// Away is the time for which a change takes an engine away after its drain.
 	Away time.Duration
-	// StreamTime is the expected time of the longest running stream, which
-	// the drain waits for.
-	StreamTime time.Duration
+	// ModelError is the share of the goodput by which estimates are wrong: a
+	// change must win more than it.
+	ModelError float64
 }
 
 // Defaults of a policy.
 const (
-	defaultMinDwell   = time.Minute
-	defaultHorizon    = time.Minute
-	defaultAway       = 5 * time.Second
-	defaultStreamTime = 10 * time.Second
+	defaultMinDwell = time.Minute
+	defaultNow      = time.Minute
+	defaultLater    = 4 * time.Minute
+	defaultAway     = 5 * time.Second
+	// defaultModelError was measured; see docs/measurements/routing.md.
+	defaultModelError = 0.01
 )
 
 // DefaultPolicy returns a policy with a given cost per change.
 func DefaultPolicy(changeCost float64) Policy {
 	return Policy{
-		ChangeCost: changeCost, MinDwell: defaultMinDwell, Horizon: defaultHorizon,
-		Away: defaultAway, StreamTime: defaultStreamTime,
+		ChangeCost: changeCost, MinDwell: defaultMinDwell, Now: defaultNow, Later: defaultLater, Away: defaultAway,
+		ModelError: defaultModelError,
 	}
 }
 
@@ -77,47 +91,81 @@
 	maxReportAge = 5 * time.Second
 	// headroom is the share of the capacity that can be used on time; queues
 	// grow beyond the deadlines above it.
-	headroom = 0.85
+	headroom = 0.95
+	// drainLoss is the share of its work that an engine loses on average
+	// while it drains.
+	drainLoss = 0.5
+	// prefillDrain is the time in which a prefill engine drains.
+	prefillDrain = time.Second
 )
 
 // Plan returns the changes to make now: at most one, so that each change is
-// judged by what the one before it did. It returns none while a change is
-// under way, or when an engine of the fleet in service has no fresh report.
+// judged by what the one before it did. It returns none while an engine of the
+// group changes, or when an engine in service has no fresh report.
 func Plan(now time.Time, view View, policy Policy) []Change {
 	for _, engine := range view.Engines {
-		if engine.Changing || engine.InService && now.Sub(engine.ReportedAt) > maxReportAge {
+		if engine.Group && engine.Target != "" || engine.InService && now.Sub(engine.ReportedAt) > maxReportAge {
 			return nil
 		}
 	}
-	counts := view.counts()
-	var best Change
-	var most float64
-	for _, engine := range view.Engines {
+	best, most := Change{}, policy.ChangeCost
+	for _, engine := range view.candidates(now, policy) {
 		for _, role := range engine.Allowed {
-			if !engine.mayChange(now, role, policy) || !keepsPhases(counts, engine.Role, role) {
+			if role == engine.Role || !view.keepsPhases(engine.Role, role) {
 				continue
 			}
-			won := view.won(counts, engine, role, policy)
-			if won > policy.ChangeCost && won > most {
+			if won := view.won(engine, role, policy); won > most {
 				best, most = Change{engine.Name, role}, won
 			}
 		}
 	}
-	if most == 0 {
+	if best.Engine == "" {
 		return nil
 	}
 	return []Change{best}
 }
 
-func (engine Engine) mayChange(now time.Time, role lwtstate.Role, policy Policy) bool {
-	return engine.Group && engine.InService && role != engine.Role &&
-		now.Sub(engine.ChangedAt) >= policy.MinDwell
+// candidates returns for each role the engine of the group that may change
+// and has the least to drain. Engines with different allowed roles are
+// candidates of their own.
+func (view View) candidates(now time.Time, policy Policy) []Engine {
+	var candidates []Engine
+	for _, engine := range view.Engines {
+		if !engine.Group || !engine.InService || engine.Target != "" || now.Sub(engine.ChangedAt) < policy.MinDwell {
+			continue
+		}
+		i := slices.IndexFunc(candidates, func(other Engine) bool {
+			return other.Role == engine.Role && slices.Equal(other.Allowed, engine.Allowed)
+		})
+		switch {
+		case i < 0:
+			candidates = append(candidates, engine)
+		case engine.Running < candidates[i].Running:
+			candidates[i] = engine
+		}
+	}
+	return candidates
 }
 
+// counts returns the engines by role, with changes under way counted as done.
 func (view View) counts() Counts {
 	var counts Counts
 	for _, engine := range view.Engines {
-		if engine.InService {
+		switch {
+		case engine.Target != "":
+			*counts.Of(engine.Target)++
+		case engine.InService:
+			*counts.Of(engine.Role)++
+		}
+	}
+	return counts
+}
+
+// serving returns the engines in service by role, without those that change.
+func (view View) serving() Counts {
+	var counts Counts
+	for _, engine := range view.Engines {
+		if engine.Target == "" && engine.InService {
 			*counts.Of(engine.Role)++
 		}
 	}
@@ -136,6 +184,11 @@
 	}
 }
 
+func (counts Counts) without(role lwtstate.Role) Counts {
+	*counts.Of(role)--
+	return counts
+}
+
 func (counts Counts) moved(from, to lwtstate.Role) Counts {
 	*counts.Of(from)--
 	*counts.Of(to)++
@@ -144,11 +197,9 @@
 
 // keepsPhases reports whether both phases keep an engine in service during
 // and after a change.
-func keepsPhases(counts Counts, from, to lwtstate.Role) bool {
-	during := counts
-	*during.Of(from)--
-	after := counts.moved(from, to)
-	for _, counts := range []Counts{during, after} {
+func (view View) keepsPhases(from, to lwtstate.Role) bool {
+	serving := view.serving()
+	for _, counts := range []Counts{serving.without(from), serving.moved(from, to)} {
 		if counts.Prefill+counts.Mixed < 1 || counts.Decode+counts.Mixed < 1 {
 			return false
 		}
@@ -156,27 +207,41 @@
 	return true
 }
 
-// won returns the requests that a change is expected to win over the horizon,
-// less those lost while the engine drains and is away.
-func (view View) won(counts Counts, engine Engine, role lwtstate.Role, policy Policy) float64 {
-	without := counts
-	*without.Of(engine.Role)--
-	before := view.goodput(counts)
-	after := view.goodput(counts.moved(engine.Role, role))
-	away := policy.Away.Seconds() + policy.drain(engine).Seconds()
-	return (after-before)*(policy.Horizon.Seconds()-away) - (before-view.goodput(without))*away
+// won returns the requests that a change is expected to win, less those lost
+// while the engine drains and is away.
+func (view View) won(engine Engine, role lwtstate.Role, policy Policy) float64 {
+	before := view.counts()
+	after, without := before.moved(engine.Role, role), before.without(engine.Role)
+	drain := view.drain(engine)
+	served := view.goodput(before, view.Demand)
+	lost := (served - view.goodput(without, view.Demand)) * (policy.Away.Seconds() + drainLoss*drain.Seconds())
+	gained := policy.gain(served, view.goodput(after, view.Demand)) * max(0, policy.Now-policy.Away-drain).Seconds()
+	for _, past := range view.Past {
+		share := policy.Later.Seconds() / float64(len(view.Past))
+		gained += policy.gain(view.goodput(before, past), view.goodput(after, past)) * share
+	}
+	return gained - lost
 }
 
-func (policy Policy) drain(engine Engine) time.Duration {
-	if engine.Running == 0 {
+// gain returns the requests per second that a change is sure to win.
+func (policy Policy) gain(before, after float64) float64 {
+	return after - before*(1+policy.ModelError)
+}
+
+func (view View) drain(engine Engine) time.Duration {
+	switch {
+	case engine.Running == 0:
 		return 0
+	case engine.Role == lwtstate.RolePrefill:
+		return prefillDrain
+	default:
+		return view.StreamTime
 	}
-	return policy.StreamTime
 }
 
 // goodput returns the requests per second that engines answer on time.
-func (view View) goodput(counts Counts) float64 {
-	return view.Demand.Requests * min(1, headroom*Capacity(counts, view.Demand, view.Speeds))
+func (view View) goodput(counts Counts, demand Demand) float64 {
+	return demand.Requests * min(1, headroom*Capacity(counts, demand, view.Speeds(demand)))
 }
 
 // Allowed returns the roles that the declared state allows for an engine.
--- a/core/lwtrouter/engine.go
+++ b/core/lwtrouter/engine.go
@@ -79,3 +79,13 @@
 	}
 	return max(0, tokens)
 }
+
+// prefilling reports whether prompts wait at the engine as far as is known.
+func (engine *engineView) prefilling() bool {
+	for level := range Priorities {
+		if engine.report.WaitingTokens[level] > 0 || engine.sent.tokens[level] > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/core/lwtrouter/router.go
+++ b/core/lwtrouter/router.go
@@ -44,8 +44,13 @@
 	// CachedTokens are the prompt tokens that the engine's prefix cache is
 	// expected to save.
 	CachedTokens int
-	prefill      int32
-	decode       int32
+	// Full says that no engine was found with memory for the request.
+	Full bool
+	// wait and work are the parts of FirstToken in seconds: the queue as
+	// reported, and all else.
+	wait, work float64
+	prefill    int32
+	decode     int32
 }
 
 // Split reports whether prefill and decode run on different engines.
@@ -97,5 +102,5 @@
 	if !found {
 		return Choice{}, ErrNoEngine
 	}
-	return view.choice(chosen, job.output), nil
+	return view.choice(&job, chosen), nil
 }
--- a/core/lwtrouter/rule.go
+++ b/core/lwtrouter/rule.go
@@ -8,8 +8,8 @@
 // The rules that were measured against each other; see
 // docs/measurements/routing.md.
 const (
-	// RuleTwoChoicesPrefix takes the best of two random engines and the best
-	// prefix holder within the load bound.
+	// RuleTwoChoicesPrefix takes, of the engines with room, the best prefix
+	// holder within the load bound, else the better of two random engines.
 	RuleTwoChoicesPrefix Rule = iota
 	// RuleLeastWork takes the best score of all engines.
 	RuleLeastWork
@@ -71,11 +71,11 @@
 	case RuleBand:
 		return router.band(candidates), true
 	default:
-		chosen := router.two(candidates)
-		if holder, found := prefixHolder(candidates); found && holder.score < chosen.score {
-			chosen = holder
+		candidates = withRoom(candidates)
+		if holder, found := prefixHolder(candidates); found {
+			return holder, true
 		}
-		return chosen, true
+		return router.two(candidates), true
 	}
 }
 
@@ -154,3 +154,19 @@
 	}
 	return chosen
 }
+
+// withRoom moves the candidates with room for the request to the front and
+// returns them; all when none has room.
+func withRoom(candidates []candidate) []candidate {
+	count := 0
+	for i := range candidates {
+		if candidates[i].score < fullPenalty {
+			candidates[count], candidates[i] = candidates[i], candidates[count]
+			count++
+		}
+	}
+	if count == 0 {
+		return candidates
+	}
+	return candidates[:count]
+}
--- a/core/lwtrouter/score.go
+++ b/core/lwtrouter/score.go
@@ -27,6 +27,8 @@
 	output   float64
 	blocks   float64
 	priority int
+	// queueFactor is the learned wait per second of reported queue.
+	queueFactor float64
 	// decode is the decode engine for requests that leave their prefill engine.
 	decode candidate
 }
@@ -41,15 +43,20 @@
 	// load is the queue that the rules with a load bound compare.
 	load  float64
 	saved float64
+	// wait is the queue as reported, in seconds.
+	wait float64
 	// first and between are seconds.
 	first   float64
 	between float64
+	// full says that the engine lacks memory for the request.
+	full bool
 }
 
 func (view *View) newJob(now time.Time, request *Request) job {
+	priority := Priority(request.Class)
 	return job{
 		request: request, now: now.UnixNano(), prompt: float64(request.PromptTokens),
-		output: float64(request.OutputTokens), priority: Priority(request.Class),
+		output: float64(request.OutputTokens), priority: priority, queueFactor: view.queues.of(priority),
 		blocks: float64(request.PromptTokens+request.OutputTokens) / BlockTokens,
 		decode: candidate{engine: -1},
 	}
@@ -63,27 +70,29 @@
 }
 
 // decodeCost returns the score and the time between tokens of decoding on an
-// engine.
-func (view *View) decodeCost(job *job, engine *engineView) (score, between float64) {
+// engine, and whether the engine lacks memory for it. Prefills says that the
+// engine prefills at the same time.
+func (view *View) decodeCost(job *job, engine *engineView, prefills bool) (score, between float64, full bool) {
 	between = view.rates.stepBase + (engine.streams()+1)*view.rates.stepPerStream
-	if engine.mixed() {
+	if prefills {
 		between += view.rates.mixedChunk / engine.prefillRate
 	}
 	score = decodeWeight * job.output * between
 	if between > view.between {
 		score += fullPenalty * (1 + between - view.between)
 	}
-	if job.blocks > float64(engine.report.FreeBlocks)-engine.sent.blocks {
+	full = job.blocks > float64(engine.report.FreeBlocks)-engine.sent.blocks
+	if full {
 		score += fullPenalty
 	}
-	return score, between
+	return score, between, full
 }
 
 // decodeCandidate scores an engine that gets the KV cache from another.
 func (view *View) decodeCandidate(job *job, i int32) candidate {
 	engine := &view.engines[i]
-	score, between := view.decodeCost(job, engine)
-	return candidate{engine: i, decode: i, score: score, load: engine.streams(), between: between}
+	score, between, full := view.decodeCost(job, engine, engine.mixed() && engine.prefilling())
+	return candidate{engine: i, decode: i, score: score, load: engine.streams(), between: between, full: full}
 }
 
 // prefillCandidate scores an engine for the prefill together with the better
@@ -94,16 +103,17 @@
 	speeds.prefillRate = engine.prefillRate
 	speed := speeds.prefillSpeed(engine.mixed(), float64(engine.report.Running))
 	saved := min(engine.cache.saved(job.request.Prefixes), max(0, job.prompt-1))
-	load := engine.waitingTokens(job.priority, job.elapsed(engine), speed) / speed
+	wait := engine.waitingTokens(job.priority, job.elapsed(engine), speed) / speed
+	load := wait * job.queueFactor
 	work := (job.prompt - saved) / speed
-	result := candidate{engine: i, decode: -1, load: load, saved: saved, first: load + work}
+	result := candidate{engine: i, decode: -1, load: load, wait: wait, saved: saved, first: load + work}
 	if engine.zone != job.request.AvailabilityZone {
 		result.first += hopCost
 	}
 	if engine.mixed() {
 		result.score = result.first + interferenceWeight*work*float64(engine.report.Running)
-		cost, between := view.decodeCost(job, engine)
-		result.decode, result.between = i, between
+		cost, between, full := view.decodeCost(job, engine, true)
+		result.decode, result.between, result.full = i, between, full
 		result.score += cost
 		result.load += engine.streams() * speeds.stepPerStream
 	}
@@ -120,20 +130,25 @@
 	transfer := view.rates.transferBase + job.prompt/view.rates.transferRate
 	score := result.first + transfer + job.decode.score
 	if engine.mixed() {
+		if view.rates.stepBase+engine.streams()*view.rates.stepPerStream+view.rates.mixedChunk/engine.prefillRate > view.between {
+			score += fullPenalty
+		}
 		score += interferenceWeight * float64(engine.report.Running) * (job.prompt - result.saved) / engine.prefillRate
 		if score >= result.score {
 			return
 		}
 	}
 	result.score, result.between, result.decode = score, job.decode.between, job.decode.engine
+	result.full = job.decode.full
 	result.first += transfer
 }
 
-func (view *View) choice(best candidate, output float64) Choice {
+func (view *View) choice(job *job, best candidate) Choice {
 	choice := Choice{
 		Engine: view.engines[best.engine].name, FirstToken: seconds(best.first),
-		Whole: seconds(best.first + output*best.between), BetweenTokens: seconds(best.between),
-		CachedTokens: int(best.saved), prefill: best.engine, decode: best.decode,
+		Whole: seconds(best.first + job.output*best.between), BetweenTokens: seconds(best.between),
+		CachedTokens: int(best.saved), Full: best.full,
+		wait: best.wait, work: best.first - best.wait*job.queueFactor, prefill: best.engine, decode: best.decode,
 	}
 	if best.decode != best.engine {
 		choice.DecodeEngine = view.engines[best.decode].name
--- a/core/lwtrouter/view.go
+++ b/core/lwtrouter/view.go
@@ -19,6 +19,7 @@
 	byModel map[string][]int32
 	// objective bounds the time between tokens, in seconds.
 	between float64
+	queues  queueFactors
 }
 
 // DefaultBetweenTokens is the objective for the time between two tokens.
@@ -154,10 +155,9 @@
 	Name     string
 	Declared lwtstate.Engine
 	// Role is the role last reported, or the declared one before a report.
-	Role     lwtstate.Role
-	Changing bool
-	// Available says that the engine takes new work.
-	Available  bool
+	Role lwtstate.Role
+	// InService is false for an engine that is draining or was found down.
+	InService  bool
 	Running    int
 	ReportedAt time.Time
 }
@@ -169,8 +169,8 @@
 		engine := &view.engines[i]
 		statuses = append(statuses, Status{
 			Name: engine.name, Declared: engine.declared, Role: engine.role,
-			Changing: engine.report.Changing || engine.unwanted, Available: engine.available(now.UnixNano()),
-			Running: engine.report.Running + engine.report.Waiting, ReportedAt: engine.report.TakenAt,
+			InService: !engine.declared.Draining && engine.downUntil <= now.UnixNano(),
+			Running:   engine.report.Running + engine.report.Waiting, ReportedAt: engine.report.TakenAt,
 		})
 	}
 	return statuses
