--- a/core/lwtadmission/admission.go
+++ b/core/lwtadmission/admission.go
@@ -70,7 +70,8 @@
 	return admission
 }
 
-// WithResult learns whether an admitted request was answered on time.
+// WithResult learns whether an admitted request met a deadline. It is told at
+// the first token, and again when a whole answer is late.
 func (admission *Admission) WithResult(class lwtstate.Class, onTime bool) *Admission {
 	margin := admission.margin(class)
 	if onTime {
--- a/core/lwtmix/daemon.go
+++ b/core/lwtmix/daemon.go
@@ -37,7 +37,11 @@
 }
 
 func newDaemon(index int, state lwtstate.State, policy Policy, random *rand.Rand) *daemon {
-	view := lwtrouter.NewView("d"+string(rune('1'+index)), lwtrouter.DefaultRates()).WithState(state)
+	senders := daemonCount
+	if policy.Clairvoyant {
+		senders = 1
+	}
+	view := lwtrouter.NewView("d"+string(rune('1'+index)), lwtrouter.DefaultRates()).WithState(state).WithSenders(senders)
 	return &daemon{
 		index:  index,
 		router: lwtrouter.New(view, policy.Rule, random),
--- a/core/lwtmix/roles.go
+++ b/core/lwtmix/roles.go
@@ -1,7 +1,6 @@
 package lwtmix
 
 import (
-	"fmt"
 	"time"
 
 	"lacewingtide/core/lwtplanner"
@@ -69,30 +68,6 @@
 			Running: status.Running, ReportedAt: status.ReportedAt, ChangedAt: run.changedAt[status.Name],
 		})
 	}
-	if debugPlan != nil {
-		c := map[string]int{}
-		for _, e := range view.Engines {
-			k := string(e.Role)
-			if !e.InService {
-				k += "-out"
-			}
-			if e.Target != "" {
-				k += "-ch"
-			}
-			if at(now).Sub(e.ReportedAt) > 5e9 {
-				k += "-stale"
-			}
-			c[k]++
-		}
-
-		var cc lwtplanner.Counts
-		for _, e := range view.Engines {
-			if e.InService && e.Target == "" {
-				*cc.Of(e.Role)++
-			}
-		}
-		debugPlan(now, group, fmt.Sprintf("%.0f r %.0f p %.0f d cap %.2f %v", view.Demand.Requests, view.Demand.PrefillTokens, view.Demand.DecodeTokens, lwtplanner.Capacity(cc, view.Demand, speedsFor(view.Demand)), c))
-	}
 	for _, change := range lwtplanner.Plan(at(now), view, run.policy.Planner) {
 		run.want(now, run.byName[change.Engine], change.Role)
 	}
@@ -245,5 +220,3 @@
 	}
 	return low
 }
-
-var debugPlan func(now int64, group int, v any)
--- a/core/lwtmix/step.go
+++ b/core/lwtmix/step.go
@@ -71,7 +71,9 @@
 	}
 	j.firstAt = now
 	if run.policy.Simple == "" {
-		run.daemons[j.daemon].router.View().WithFirstToken(j.request, j.choice, time.Duration(now-j.sentAt))
+		daemon := run.daemons[j.daemon]
+		daemon.router.View().WithFirstToken(j.request, j.choice, time.Duration(now-j.sentAt))
+		daemon.admission.WithResult(j.arrival.Class, now-j.arrival.At <= int64(j.arrival.first))
 	}
 }
 
@@ -80,7 +82,9 @@
 	daemon := run.daemons[j.daemon]
 	daemon.outstanding[j.decodeAt]--
 	daemon.lengths.WithAnswer(j.arrival.Class, j.arrival.Output)
-	daemon.admission.WithResult(j.arrival.Class, j.onTime())
+	if now-j.arrival.At > int64(j.arrival.whole) {
+		daemon.admission.WithResult(j.arrival.Class, false)
+	}
 }
 
 // restart places a request again whose engine was lost. A request that must
--- a/core/lwtrouter/engine.go
+++ b/core/lwtrouter/engine.go
@@ -18,15 +18,18 @@
 	downUntil int64
 	unwanted  bool
 	sent      sentLog
-	cache     cacheView
+	// senders multiplies the work sent since the last report to allow for
+	// what other daemons sent.
+	senders float64
+	cache   cacheView
 	// prefillRate is in tokens per second.
 	prefillRate float64
 }
 
-func newEngineView(engine lwtstate.Engine, prefillRate float64) engineView {
+func newEngineView(engine lwtstate.Engine, prefillRate, senders float64) engineView {
 	return engineView{
 		name: engine.Name, zone: engine.AvailabilityZone, role: engine.Role, declared: engine,
-		report: Report{FreeBlocks: engine.MemoryBlocks}, cache: newCacheView(), prefillRate: prefillRate,
+		report: Report{FreeBlocks: engine.MemoryBlocks}, cache: newCacheView(), senders: senders, prefillRate: prefillRate,
 	}
 }
 
@@ -67,7 +70,7 @@
 // streams returns the streams that the engine is expected to decode once all
 // known work has been prefilled.
 func (engine *engineView) streams() float64 {
-	return float64(engine.report.Running+engine.report.Waiting) + engine.sent.streams
+	return float64(engine.report.Running+engine.report.Waiting) + engine.sent.streams*engine.senders
 }
 
 // waitingTokens returns the prompt tokens at or above a priority that are
@@ -75,7 +78,7 @@
 func (engine *engineView) waitingTokens(priority int, elapsed, speed float64) float64 {
 	tokens := -elapsed * speed
 	for level := priority; level < Priorities; level++ {
-		tokens += float64(engine.report.WaitingTokens[level]) + engine.sent.tokens[level]
+		tokens += float64(engine.report.WaitingTokens[level]) + engine.sent.tokens[level]*engine.senders
 	}
 	return max(0, tokens)
 }
--- a/core/lwtrouter/score.go
+++ b/core/lwtrouter/score.go
@@ -81,7 +81,7 @@
 	if between > view.between {
 		score += fullPenalty * (1 + between - view.between)
 	}
-	full = job.blocks > float64(engine.report.FreeBlocks)-engine.sent.blocks
+	full = job.blocks > float64(engine.report.FreeBlocks)-engine.sent.blocks*engine.senders
 	if full {
 		score += fullPenalty
 	}
--- a/core/lwtrouter/view.go
+++ b/core/lwtrouter/view.go
@@ -20,6 +20,7 @@
 	// objective bounds the time between tokens, in seconds.
 	between float64
 	queues  queueFactors
+	senders float64
 }
 
 // DefaultBetweenTokens is the objective for the time between two tokens.
@@ -29,7 +30,7 @@
 func NewView(name string, rates Rates) *View {
 	return &View{
 		name: name, rates: rates.speeds(), between: DefaultBetweenTokens.Seconds(),
-		index: map[string]int32{}, byModel: map[string][]int32{},
+		senders: 1, index: map[string]int32{}, byModel: map[string][]int32{},
 	}
 }
 
@@ -56,7 +57,7 @@
 func (view *View) withDeclared(engine lwtstate.Engine) engineView {
 	i, found := view.index[engine.Name]
 	if !found {
-		return newEngineView(engine, view.rates.prefillRate)
+		return newEngineView(engine, view.rates.prefillRate, view.senders)
 	}
 	known := view.engines[i]
 	if known.declared.Role != engine.Role {
@@ -108,6 +109,21 @@
 	return view
 }
 
+// othersShare is the part of the other daemons' work that is counted, as a
+// share of this daemon's own for each of them. The measured optimum is below 1:
+// part of what they sent is in the report already or done.
+const othersShare = 1.0 / 3
+
+// WithSenders sets the number of daemons that send to the same engines. What
+// the others sent since the last report is estimated from this daemon's own.
+func (view *View) WithSenders(daemons int) *View {
+	view.senders = 1 + othersShare*float64(max(0, daemons-1))
+	for i := range view.engines {
+		view.engines[i].senders = view.senders
+	}
+	return view
+}
+
 // WithDown keeps new work from an engine until the given time, as after a
 // refused connection.
 func (view *View) WithDown(engine string, until time.Time) *View {
