--- a/io/lwtdaemon/daemon.go
+++ b/io/lwtdaemon/daemon.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 
 	"github.com/go-kit/log"
 	"github.com/thejerf/suture/v4"
@@ -14,6 +15,9 @@
 	"lacewingtide/io/lwtengine"
 	"lacewingtide/io/lwtentry"
 	"lacewingtide/io/lwtlog"
+	"lacewingtide/io/lwtmetric"
+	"lacewingtide/io/lwtoperator"
+	"lacewingtide/io/lwtpeer"
 	"lacewingtide/io/lwtplatform"
 	"lacewingtide/io/lwtsetting"
 )
@@ -48,50 +52,104 @@
 	listeners Listeners
 	declared  *declared
 	router    *router
+	limiter   *limiter
+	claims    *claims
 	entry     *lwtentry.Server
 	platform  *lwtplatform.Client
 	engines   *lwtengine.Client
+	metrics   *lwtmetric.Metrics
+	observer  *observer
+	operator  *lwtoperator.Server
+	status    *lwtoperator.Status
+	authority *authority
+	peers     *lwtpeer.Network
+	members   *members
+	releasers []Releaser
+	join      *join
+	drains    *drains
+	halt      sync.Once
+	halted    chan struct{}
 }
 
 // New returns a daemon that serves on open listeners.
-func New(settings lwtsetting.Settings, listeners Listeners, logger log.Logger) *Daemon {
+func New(settings lwtsetting.Settings, listeners Listeners, logger log.Logger) (*Daemon, error) {
+	var metrics *lwtmetric.Metrics
+	var err error
+	if metrics, err = lwtmetric.New(settings.Name); err != nil {
+		return nil, err
+	}
 	daemon := &Daemon{
 		settings:  settings,
 		logger:    log.With(logger, "daemon", settings.Name),
 		listeners: listeners,
 		platform:  lwtplatform.New(settings.Platform.Address, settings.Platform.Timeout.Std()),
 		engines:   lwtengine.New(),
+		metrics:   metrics,
+		halted:    make(chan struct{}),
 	}
-	daemon.declared = newDeclared(daemon.platform, daemon.logger)
+	daemon.declared = newDeclared(settings.Name, daemon.platform, daemon.logger)
+	daemon.operator, daemon.status = newOperator(settings, daemon.declared, daemon.logger)
 	daemon.router = newRouter(daemon.declared)
+	daemon.observer = newObserver(settings.Name, daemon.declared, metrics.Scope())
+	daemon.operator.HandleBurn(daemon.observer.Snapshot)
+	daemon.operator.Handle("GET", "/metrics", metrics.Handle)
+	daemon.limiter = newLimiter(daemon.declared, settings.Name)
+	daemon.claims = newClaims(daemon.platform, settings.Name, daemon.logger)
+	daemon.peers, daemon.members = newMembers(settings, listeners, daemon.platform, daemon.logger)
+	daemon.authority = newAuthority(runName(daemon.members.Model().Self()), daemon.declared, daemon.platform,
+		daemon.engines, daemon.logger)
+	daemon.drains = newDrains(daemon.authority.Draining, daemon.peers, daemon.logger)
+	daemon.router.draining = daemon.drains.Draining
+	daemon.join = newJoin(daemon)
 	daemon.entry = lwtentry.New(lwtentry.Dependencies{
 		Declared:         daemon.declared,
 		Router:           daemon.router,
-		Limiter:          openLimiter{},
-		Addresses:        ownAddress{settings.EntryAddress},
-		Observer:         discardObserver{},
-		Services:         newForwarder(daemon.logger),
+		Limiter:          daemon.limiter,
+		Addresses:        newAddresses(daemon.members, settings),
+		Observer:         daemon.observer,
+		Services:         newForwarder(daemon.claims, settings.AvailabilityZone, daemon.logger),
 		Engines:          daemon.engines,
 		Logger:           daemon.logger,
 		StreamKey:        []byte(settings.PeerKey),
 		Name:             settings.Name,
 		AvailabilityZone: settings.AvailabilityZone,
 	})
-	return daemon
+	return daemon, nil
 }
 
+// Halt ends Run at once, as a crash would: the daemon leaves nothing in order.
+// It is meant for tests of failures.
+func (daemon *Daemon) Halt() { daemon.halt.Do(func() { close(daemon.halted) }) }
+
 // Run serves until ctx ends, then shuts down gracefully.
 func (daemon *Daemon) Run(ctx context.Context) error {
 	supervisor := suture.New("daemon "+daemon.settings.Name, suture.Spec{EventHook: daemon.supervised})
 	supervisor.Add(daemon.declared)
-	supervisor.Add(serverPart{"entry", func() error { return daemon.entry.Serve(daemon.listeners.Entry) }})
+	supervisor.Add(daemon.claims)
+	supervisor.Add(daemon.authority)
+	supervisor.Add(serverPart{"operator", func() error { return daemon.operator.Serve(daemon.listeners.Operator) }})
+	entry := drainListener(daemon.listeners.Entry)
+	supervisor.Add(serverPart{"entry", func() error { return daemon.entry.Serve(entry) }})
+	supervisor.Add(daemon.members)
+	supervisor.Add(daemon.join)
+	supervisor.Add(daemon.drains)
+	supervisor.Add(serverPart{"peers", func() error { return daemon.peers.Serve(daemon.listeners.Peer) }})
 	lwtlog.Info(daemon.logger, "daemon-started", "entry-address", daemon.listeners.Entry.Addr(),
 		"availability-zone", daemon.settings.AvailabilityZone)
 	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	daemon.declared.connect(daemon.peers)
+	daemon.members.OnNumber(func(number int64, from string) { daemon.declared.peerNumber(from, number) })
 	ended := supervisor.ServeBackground(parts)
-	<-ctx.Done()
-	err := daemon.entry.Shutdown()
+	var err error
+	select {
+	case <-ctx.Done():
+		err = daemon.shutdown(parts, entry)
+		daemon.claims.Drain(claimDrain)
+		err = errors.Join(err, daemon.operator.Shutdown(parts))
+	case <-daemon.halted:
+		daemon.closeListeners()
+	}
 	stop()
 	if ended := <-ended; !errors.Is(ended, context.Canceled) {
 		lwtlog.Warn(daemon.logger, "supervisor-ended", "err", ended)
@@ -100,6 +158,14 @@
 	return err
 }
 
+func (daemon *Daemon) closeListeners() {
+	daemon.peers.Close()
+	for _, listener := range []net.Listener{daemon.listeners.Entry, daemon.listeners.Peer, daemon.listeners.Operator} {
+		// The daemon ends without order.
+		_ = listener.Close()
+	}
+}
+
 func (daemon *Daemon) supervised(event suture.Event) {
 	lwtlog.Warn(daemon.logger, "part-event", "detail", event.String())
 }
@@ -120,6 +186,10 @@
 	go func() { failed <- part.serve() }()
 	select {
 	case err := <-failed:
+		if err == nil {
+			// The server was shut down.
+			return suture.ErrDoNotRestart
+		}
 		return err
 	case <-ctx.Done():
 		return ctx.Err()
--- a/io/lwtentry/server.go
+++ b/io/lwtentry/server.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -104,14 +105,16 @@
 type Server struct {
 	dependencies Dependencies
 	ids          *idSource
+	retries      *retries
 	http         *fasthttp.Server
+	draining     atomic.Bool
 }
 
 // New returns a server.
 func New(dependencies Dependencies) *Server {
-	server := &Server{dependencies: dependencies, ids: newIDSource(dependencies.Name)}
+	server := &Server{dependencies: dependencies, ids: newIDSource(dependencies.Name), retries: newRetries()}
 	server.http = &fasthttp.Server{
-		Handler:               server.handle,
+		Handler:               server.answer,
 		ErrorHandler:          handleProtocolError,
 		MaxRequestBodySize:    maxBodyBytes,
 		ReadBufferSize:        maxHeaderBytes,
@@ -119,14 +122,17 @@
 		IdleTimeout:           idleTimeout,
 		Concurrency:           maxConnections,
 		NoDefaultServerHeader: true,
+		Logger:                lwtlog.NewPrinter(dependencies.Logger, "caller-connection-failed"),
 		CloseOnShutdown:       true,
+		// Bodies of calls to services pass through unchanged.
+		DisablePreParseMultipartForm: true,
 	}
 	return server
 }
 
 // Serve answers callers on a listener until Shutdown is called.
 func (server *Server) Serve(listener net.Listener) error {
-	return server.http.Serve(listener)
+	return server.http.Serve(callerListener{listener})
 }
 
 // Shutdown stops accepting connections and waits for running requests.
@@ -134,6 +140,15 @@
 	return server.http.Shutdown()
 }
 
+// answer handles a request. Handlers may replace the whole answer, so that the
+// connection's end is set last.
+func (server *Server) answer(ctx *fasthttp.RequestCtx) {
+	server.handle(ctx)
+	if server.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
 func (server *Server) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	if path == "/healthz" {
@@ -167,8 +182,8 @@
 	addresses, keep := server.dependencies.Addresses.Answer(time.Now(), caller.Name)
 	writeJSON(ctx, struct {
 		Addresses   []string `json:"entry-addresses"`
-		KeepSeconds int      `json:"keep-seconds"`
-	}{addresses, int(keep / time.Second)})
+		KeepSeconds float64  `json:"keep-seconds"`
+	}{addresses, keep.Seconds()})
 }
 
 func (server *Server) handleService(
