Route by the view in the daemon, poll idle engines and plan roles

Cause: the daemon picked engines by its own count of requests alone, admitted everything, and no planner ran. Conclusion: the same core code decides in the daemon and in the measure.

--- a/core/lwtadmission/length.go
+++ b/core/lwtadmission/length.go
@@ -38,3 +38,12 @@
 	}
 	return max(1, min(limit, int(mean)))
 }
+
+// Longest returns the mean length of the class with the longest answers.
+func (lengths *Lengths) Longest() int {
+	longest := 0.0
+	for _, mean := range lengths.means {
+		longest = max(longest, mean)
+	}
+	return int(longest)
+}
--- a/core/lwtmix/daemon.go
+++ b/core/lwtmix/daemon.go
@@ -1,7 +1,6 @@
 package lwtmix
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -102,15 +101,3 @@
 	daemon.next++
 	return best
 }
-
-// longAnswer is the length of a long answer as a multiple of the mean of its class.
-const longAnswer = 2
-
-// streamTime returns the time of a long answer of the class with the longest.
-func (daemon *daemon) streamTime(state lwtstate.State) time.Duration {
-	most := 0
-	for class := range state.Objectives {
-		most = max(most, daemon.lengths.Expected(class, math.MaxInt))
-	}
-	return longAnswer * time.Duration(most) * lwtrouter.DefaultBetweenTokens
-}
--- a/core/lwtmix/roles.go
+++ b/core/lwtmix/roles.go
@@ -58,7 +58,7 @@
 		holder = run.daemons[(group+1)%daemonCount]
 	}
 	view := lwtplanner.View{
-		Demand: run.demand(), Past: run.past, Speeds: speedsFor, StreamTime: holder.streamTime(run.state),
+		Demand: run.demand(), Past: run.past, Speeds: speedsFor, StreamTime: lwtplanner.StreamTime(holder.lengths.Longest()),
 	}
 	for i, status := range holder.router.View().Statuses(at(now)) {
 		view.Engines = append(view.Engines, lwtplanner.Engine{
--- a/core/lwtmix/run.go
+++ b/core/lwtmix/run.go
@@ -19,8 +19,8 @@
 	// Load is a multiple of the fleet's capacity.
 	Load     float64
 	Duration time.Duration
-	// Quiet leaves out the drained engine, the crash and the lost entry VM.
-	Quiet bool
+	// Failures happen besides the load.
+	Failures []Failure
 }
 
 // DefaultDuration is the virtual time of one run.
@@ -61,8 +61,8 @@
 		run.every(0, int64(idlePoll), run.poll)
 		run.startPlanner()
 	}
-	if !experiment.Quiet {
-		run.startFailures()
+	for _, failure := range experiment.Failures {
+		run.startFailure(failure)
 	}
 	run.time.run(run.end + int64(tailTime))
 	return run.result()
--- a/core/lwtplanner/capacity.go
+++ b/core/lwtplanner/capacity.go
@@ -61,11 +61,12 @@
 const memoryUse = 0.75
 
 // NewSpeeds returns the speeds of engines with given rates and memory, whose
-// streams hold memory as the demand says.
+// streams hold memory as the demand says. No memory means that it is not known
+// and bounds nothing.
 func NewSpeeds(rates lwtrouter.Rates, memoryTokens float64, demand Demand) Speeds {
 	limit := lwtrouter.DefaultBetweenTokens
 	most := math.MaxInt
-	if demand.HeldTokens > 0 {
+	if demand.HeldTokens > 0 && memoryTokens > 0 {
 		most = max(1, int(memoryUse*memoryTokens/(demand.HeldTokens/demand.DecodeTokens)))
 	}
 	decode := min(most, int((limit-rates.StepBase)/rates.StepPerStream))
--- a/core/lwtplanner/plan.go
+++ b/core/lwtplanner/plan.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"lacewingtide/core/lwtrouter"
 	"lacewingtide/core/lwtstate"
 )
 
@@ -228,6 +229,16 @@
 	return after - before*(1+policy.ModelError)
 }
 
+// longAnswer is the length of a long answer as a multiple of the mean of the
+// class with the longest answers.
+const longAnswer = 2
+
+// StreamTime returns the time of a long answer, where the class with the
+// longest answers has a mean of so many tokens.
+func StreamTime(tokens int) time.Duration {
+	return longAnswer * time.Duration(tokens) * lwtrouter.DefaultBetweenTokens
+}
+
 func (view View) drain(engine Engine) time.Duration {
 	switch {
 	case engine.Running == 0:
--- a/core/lwtrouter/engine.go
+++ b/core/lwtrouter/engine.go
@@ -17,7 +17,9 @@
 	// downUntil is in Unix nanoseconds.
 	downUntil int64
 	unwanted  bool
-	sent      sentLog
+	// used says that the daemon sends work of some model to the engine.
+	used bool
+	sent sentLog
 	// senders multiplies the work sent since the last report to allow for
 	// what other daemons sent.
 	senders float64
@@ -26,10 +28,18 @@
 	prefillRate float64
 }
 
+// undeclaredBlocks is the free memory of an engine that declares none and has
+// not reported yet.
+const undeclaredBlocks = 1 << 20
+
 func newEngineView(engine lwtstate.Engine, prefillRate, senders float64) engineView {
+	free := engine.MemoryBlocks
+	if free == 0 {
+		free = undeclaredBlocks
+	}
 	return engineView{
 		name: engine.Name, zone: engine.AvailabilityZone, role: engine.Role, declared: engine,
-		report: Report{FreeBlocks: engine.MemoryBlocks}, cache: newCacheView(), senders: senders, prefillRate: prefillRate,
+		report: Report{FreeBlocks: free}, cache: newCacheView(), senders: senders, prefillRate: prefillRate,
 	}
 }
 
@@ -53,8 +63,9 @@
 }
 
 // available reports whether the engine takes new work.
-func (engine *engineView) available(now int64) bool {
-	return !engine.unwanted && !engine.declared.Draining && !engine.report.Changing && engine.downUntil <= now
+func (engine *engineView) available(now int64, tryDown bool) bool {
+	return !engine.unwanted && !engine.declared.Draining && !engine.report.Changing &&
+		(tryDown || engine.downUntil <= now)
 }
 
 func (engine *engineView) mixed() bool { return engine.role == lwtstate.RoleMixed }
--- a/core/lwtrouter/router.go
+++ b/core/lwtrouter/router.go
@@ -44,6 +44,8 @@
 	// CachedTokens are the prompt tokens that the engine's prefix cache is
 	// expected to save.
 	CachedTokens int
+	// At is the time of the choice.
+	At time.Time
 	// Full says that no engine was found with memory for the request.
 	Full bool
 	// wait and work are the parts of FirstToken in seconds: the queue as
@@ -80,27 +82,37 @@
 // available engine of the model runs one of the phases. It doesn't record the
 // request: View.WithSent does when the request is sent.
 func (router *Router) Pick(now time.Time, request Request) (Choice, error) {
+	job := router.view.newJob(now, &request)
+	chosen, found := router.pick(&job)
+	if !found {
+		// No engine is left: those found down are tried again.
+		job.tryDown = true
+		if chosen, found = router.pick(&job); !found {
+			return Choice{}, ErrNoEngine
+		}
+	}
+	choice := router.view.choice(&job, chosen)
+	choice.At = now
+	return choice, nil
+}
+
+func (router *Router) pick(job *job) (candidate, bool) {
 	view := router.view
-	job := view.newJob(now, &request)
-	engines := view.byModel[request.Model]
+	engines := view.byModel[job.request.Model]
 	router.scores = router.scores[:0]
 	for _, i := range engines {
-		if engine := &view.engines[i]; engine.decodes() && engine.serves(&job) {
-			router.scores = append(router.scores, view.decodeCandidate(&job, i))
+		if engine := &view.engines[i]; engine.decodes() && engine.serves(job) {
+			router.scores = append(router.scores, view.decodeCandidate(job, i))
 		}
 	}
 	job.decode, _ = router.choose(router.scores)
 	router.scores = router.scores[:0]
 	for _, i := range engines {
-		if engine := &view.engines[i]; engine.prefills() && engine.serves(&job) {
-			if candidate, found := view.prefillCandidate(&job, i); found {
+		if engine := &view.engines[i]; engine.prefills() && engine.serves(job) {
+			if candidate, found := view.prefillCandidate(job, i); found {
 				router.scores = append(router.scores, candidate)
 			}
 		}
 	}
-	chosen, found := router.choose(router.scores)
-	if !found {
-		return Choice{}, ErrNoEngine
-	}
-	return view.choice(&job, chosen), nil
+	return router.choose(router.scores)
 }
--- a/core/lwtrouter/score.go
+++ b/core/lwtrouter/score.go
@@ -31,6 +31,8 @@
 	queueFactor float64
 	// decode is the decode engine for requests that leave their prefill engine.
 	decode candidate
+	// tryDown has engines considered that were found down.
+	tryDown bool
 }
 
 // candidate is one engine considered for a phase.
@@ -160,5 +162,5 @@
 
 // serves reports whether an engine may take the request.
 func (engine *engineView) serves(job *job) bool {
-	return engine.available(job.now) && engine.hasAdapter(job.request.Adapter)
+	return engine.available(job.now, job.tryDown) && engine.hasAdapter(job.request.Adapter)
 }
--- a/core/lwtrouter/view.go
+++ b/core/lwtrouter/view.go
@@ -50,6 +50,9 @@
 	view.byModel = map[string][]int32{}
 	for model := range state.Models {
 		view.byModel[model] = view.subset(state.EnginesOf(model))
+		for _, i := range view.byModel[model] {
+			view.engines[i].used = true
+		}
 	}
 	return view
 }
@@ -63,7 +66,7 @@
 	if known.declared.Role != engine.Role {
 		known.role = engine.Role
 	}
-	known.declared = engine
+	known.declared, known.used = engine, false
 	return known
 }
 
@@ -124,6 +127,14 @@
 	return view
 }
 
+// CacheCursor returns the sequence number of the last cache event taken.
+func (view *View) CacheCursor(engine string) int64 {
+	if i, found := view.index[engine]; found {
+		return view.engines[i].cache.next - 1
+	}
+	return 0
+}
+
 // WithDown keeps new work from an engine until the given time, as after a
 // refused connection.
 func (view *View) WithDown(engine string, until time.Time) *View {
@@ -172,6 +183,8 @@
 	Declared lwtstate.Engine
 	// Role is the role last reported, or the declared one before a report.
 	Role lwtstate.Role
+	// Used says that the daemon sends work of some model to the engine.
+	Used bool
 	// InService is false for an engine that is draining or was found down.
 	InService  bool
 	Running    int
@@ -184,7 +197,7 @@
 	for i := range view.engines {
 		engine := &view.engines[i]
 		statuses = append(statuses, Status{
-			Name: engine.name, Declared: engine.declared, Role: engine.role,
+			Name: engine.name, Declared: engine.declared, Role: engine.role, Used: engine.used,
 			InService: !engine.declared.Draining && engine.downUntil <= now.UnixNano(),
 			Running:   engine.report.Running + engine.report.Waiting, ReportedAt: engine.report.TakenAt,
 		})
--- a/io/lwtcommand/measure.go
+++ b/io/lwtcommand/measure.go
@@ -34,6 +34,7 @@
 	}
 	experiment := lwtmix.Experiment{
 		Deployment: deployment, Seed: command.Seed, Load: command.Load, Duration: lwtmix.DefaultDuration,
+		Failures: lwtmix.DefaultFailures(lwtmix.DefaultDuration),
 	}
 	results := runPolicies(experiment, lwtmix.Policies(deployment))
 	if command.Plot != "" {
--- a/io/lwtdaemon/daemon.go
+++ b/io/lwtdaemon/daemon.go
@@ -127,6 +127,9 @@
 	supervisor.Add(daemon.declared)
 	supervisor.Add(daemon.claims)
 	supervisor.Add(daemon.authority)
+	supervisor.Add(newRouterPoll(daemon.router, daemon.engines, daemon.logger))
+	supervisor.Add(newPlanner(daemon.router, daemon.authority, daemon.settings.Planner,
+		func() int { return len(daemon.members.runs()) }, daemon.logger))
 	supervisor.Add(serverPart{"operator", func() error { return daemon.operator.Serve(daemon.listeners.Operator) }})
 	entry := drainListener(daemon.listeners.Entry)
 	supervisor.Add(serverPart{"entry", func() error { return daemon.entry.Serve(entry) }})
--- /dev/null
+++ b/io/lwtdaemon/planner.go
@@ -0,0 +1,176 @@
+package lwtdaemon
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"lacewingtide/core/lwtplanner"
+	"lacewingtide/core/lwtrouter"
+	"lacewingtide/core/lwtstate"
+	"lacewingtide/io/lwtlog"
+	"lacewingtide/io/lwtloop"
+	"lacewingtide/io/lwtsetting"
+)
+
+const (
+	planInterval = time.Second
+	// sampleInterval and pastSamples bound the past demand that plans go by.
+	sampleInterval = 20 * time.Second
+	pastSamples    = 18
+	// wantedTime is the time after which a wish that had no effect is forgotten.
+	wantedTime = 5 * time.Minute
+)
+
+// groupAuthority says which groups this daemon may change, and takes wishes.
+type groupAuthority interface {
+	// Holds reports whether this daemon holds the lease of a group.
+	Holds(now time.Time, group string) bool
+	// WantRole asks for a role of an engine. The engine is drained first.
+	WantRole(ctx context.Context, engine string, role lwtstate.Role)
+}
+
+// planner plans the roles of the engine groups whose lease this daemon holds.
+type planner struct {
+	router    *router
+	authority groupAuthority
+	policy    lwtplanner.Policy
+	daemons   func() int
+	logger    log.Logger
+	started   time.Time
+	sampledAt time.Time
+	past      []lwtplanner.Demand
+	wanted    map[string]wantedRole
+}
+
+type wantedRole struct {
+	role lwtstate.Role
+	at   time.Time
+	done bool
+}
+
+func newPlanner(
+	router *router, authority groupAuthority, settings lwtsetting.Planner, daemons func() int, logger log.Logger,
+) *planner {
+	policy := lwtplanner.DefaultPolicy(settings.RoleChangeCost)
+	policy.MinDwell = settings.MinDwell.Std()
+	return &planner{
+		router: router, authority: authority, policy: policy, daemons: daemons, logger: logger,
+		started: time.Now(), wanted: map[string]wantedRole{},
+	}
+}
+
+// Serve implements suture.Service.
+func (planner *planner) Serve(ctx context.Context) error {
+	return lwtloop.Tick(ctx, planInterval, func(now time.Time) { planner.tick(ctx, now) })
+}
+
+// String names the part in logs.
+func (planner *planner) String() string { return "planner" }
+
+func (planner *planner) tick(ctx context.Context, now time.Time) {
+	daemons := planner.daemons()
+	planner.router.SetDaemons(daemons)
+	statuses, demand, streamTime := planner.router.planning(now)
+	state, _ := planner.router.declared.State()
+	// Callers spread evenly over the daemons, so each sees an equal part; the
+	// engines looked at serve their part of the whole.
+	demand = demand.Times(float64(daemons) * float64(len(statuses)) / float64(max(1, len(state.Engines))))
+	if now.Sub(planner.sampledAt) >= sampleInterval {
+		planner.sampledAt = now
+		planner.past = append(planner.past, demand)
+		planner.past = planner.past[max(0, len(planner.past)-pastSamples):]
+	}
+	groups := map[string]bool{}
+	for _, engine := range state.Engines {
+		if engine.Group != "" && len(engine.PlannerRoles) > 0 {
+			groups[engine.Group] = planner.authority.Holds(now, engine.Group)
+		}
+	}
+	planner.router.setPlanned(maps.Clone(groups))
+	for _, status := range statuses {
+		group := status.Declared.Group
+		if !groups[group] {
+			continue
+		}
+		groups[group] = false
+		planner.plan(ctx, now, group, lwtplanner.View{
+			Engines: planner.engines(now, statuses, group), Demand: demand, Past: planner.past,
+			Speeds: speedsOf(statuses), StreamTime: streamTime,
+		})
+	}
+}
+
+func (planner *planner) plan(ctx context.Context, now time.Time, group string, view lwtplanner.View) {
+	for _, change := range lwtplanner.Plan(now, view, planner.policy) {
+		lwtlog.Info(planner.logger, "role-wanted", "group", group, "engine", change.Engine, "role", change.Role)
+		planner.wanted[change.Engine] = wantedRole{role: change.Role, at: now}
+		planner.authority.WantRole(ctx, change.Engine, change.Role)
+	}
+}
+
+// engines returns the engines as the planner of a group sees them.
+func (planner *planner) engines(now time.Time, statuses []lwtrouter.Status, group string) []lwtplanner.Engine {
+	engines := make([]lwtplanner.Engine, 0, len(statuses))
+	for _, status := range statuses {
+		engine := lwtplanner.Engine{
+			Name: status.Name, Role: status.Role, Allowed: lwtplanner.Allowed(status.Declared),
+			Group: status.Declared.Group == group, InService: status.InService, Running: status.Running,
+			ReportedAt: status.ReportedAt, ChangedAt: planner.started,
+		}
+		if wanted, found := planner.follow(now, status); found {
+			engine.ChangedAt = wanted.at
+			if !wanted.done {
+				engine.Target = wanted.role
+			}
+		} else if planner.router.draining(status.Name) {
+			engine.InService = false
+		}
+		engines = append(engines, engine)
+	}
+	return engines
+}
+
+// follow returns the last wish for an engine, and whether it has come true.
+func (planner *planner) follow(now time.Time, status lwtrouter.Status) (wantedRole, bool) {
+	wanted, found := planner.wanted[status.Name]
+	if !found || wanted.done {
+		return wanted, found
+	}
+	if now.Sub(wanted.at) > wantedTime {
+		delete(planner.wanted, status.Name)
+		return wantedRole{}, false
+	}
+	wanted.done = status.Role == wanted.role && !planner.router.draining(status.Name)
+	planner.wanted[status.Name] = wanted
+	return wanted, true
+}
+
+// speedsOf returns the speeds of engines with the mean memory of the fleet.
+func speedsOf(statuses []lwtrouter.Status) func(lwtplanner.Demand) lwtplanner.Speeds {
+	blocks := 0
+	for _, status := range statuses {
+		blocks += status.Declared.MemoryBlocks
+	}
+	memory := float64(blocks*lwtrouter.BlockTokens) / float64(max(1, len(statuses)))
+	return func(demand lwtplanner.Demand) lwtplanner.Speeds {
+		return lwtplanner.NewSpeeds(lwtrouter.DefaultRates(), memory, demand)
+	}
+}
+
+// planning returns what plans are made from.
+func (router *router) planning(now time.Time) ([]lwtrouter.Status, lwtplanner.Demand, time.Duration) {
+	statuses := router.statuses(now)
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	return statuses, router.demand.Demand(now), lwtplanner.StreamTime(router.lengths.Longest())
+}
+
+// Holds implements groupAuthority.
+func (authority *authority) Holds(now time.Time, group string) bool {
+	authority.mutex.RLock()
+	defer authority.mutex.RUnlock()
+	return !authority.stopping && authority.groups[group].lease.Lease().Valid(now)
+}
--- a/io/lwtdaemon/router.go
+++ b/io/lwtdaemon/router.go
@@ -1,53 +1,151 @@
 package lwtdaemon
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"lacewingtide/core/lwtadmission"
+	"lacewingtide/core/lwtplanner"
 	"lacewingtide/core/lwtrouter"
+	"lacewingtide/core/lwtstate"
 	"lacewingtide/io/lwtengine"
 )
 
-// router owns the routing view of the daemon.
+const (
+	// downTime is the time for which a failed engine gets no new work while
+	// another can take it.
+	downTime = time.Second
+	// demandSpan is the span over which the demand is averaged.
+	demandSpan = 15 * time.Second
+)
+
+// router owns the routing view of the daemon, and what is learned from answers.
 type router struct {
 	declared *declared
-	mutex    sync.Mutex
-	active   map[string]int
 	// draining reports whether an engine is about to be changed.
 	draining func(engine string) bool
+
+	mutex     sync.Mutex
+	number    int64
+	router    *lwtrouter.Router
+	view      *lwtrouter.View
+	admission *lwtadmission.Admission
+	lengths   *lwtadmission.Lengths
+	demand    lwtplanner.Meter
+	// planned are the groups whose roles this daemon plans.
+	planned map[string]bool
 }
 
 func newRouter(declared *declared) *router {
-	return &router{declared: declared, active: map[string]int{}, draining: func(string) bool { return false }}
+	view := lwtrouter.NewView(declared.name, lwtrouter.DefaultRates())
+	return &router{
+		declared:  declared,
+		draining:  func(string) bool { return false },
+		router:    lwtrouter.New(view, lwtrouter.RuleTwoChoicesPrefix, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		view:      view,
+		admission: lwtadmission.New(lwtadmission.Policy{}),
+		lengths:   lwtadmission.NewLengths(),
+		demand:    lwtplanner.NewMeter(demandSpan),
+	}
 }
 
 // Pick implements lwtentry.Router.
-func (router *router) Pick(_ time.Time, request lwtrouter.Request) (lwtrouter.Choice, error) {
+func (router *router) Pick(now time.Time, request lwtrouter.Request) (lwtrouter.Choice, error) {
 	state, _ := router.declared.State()
 	router.mutex.Lock()
 	defer router.mutex.Unlock()
-	best := ""
-	for _, name := range state.EnginesOf(request.Model) {
-		if state.Engines[name].Draining || router.draining(name) {
-			continue
-		}
-		if best == "" || router.active[name] < router.active[best] {
-			best = name
+	router.declare(state)
+	request.OutputTokens = router.lengths.Expected(request.Class, request.OutputTokens)
+	choice, err := router.pick(now, request)
+	if err != nil {
+		return choice, err
+	}
+	router.demand = router.demand.WithRequest(now, lwtplanner.Work(
+		float64(request.PromptTokens), float64(choice.CachedTokens), float64(request.OutputTokens)))
+	verdict := router.admission.Decide(now, lwtadmission.Request{Class: request.Class}, lwtadmission.Estimate{
+		FirstToken: choice.FirstToken, Whole: choice.Whole, BetweenTokens: choice.BetweenTokens, Full: choice.Full,
+	})
+	if verdict.Rejection != nil {
+		return lwtrouter.Choice{}, verdict.Rejection
+	}
+	router.view.WithSent(now, request, choice)
+	return choice, nil
+}
+
+// pick repeats the choice until it falls on an engine that is not drained.
+func (router *router) pick(now time.Time, request lwtrouter.Request) (lwtrouter.Choice, error) {
+	for {
+		choice, err := router.router.Pick(now, request)
+		if err != nil || !router.draining(choice.Engine) {
+			return choice, err
 		}
+		router.view.WithUnwanted(choice.Engine, true)
 	}
-	if best == "" {
-		return lwtrouter.Choice{}, lwtrouter.ErrNoEngine
+}
+
+func (router *router) declare(state lwtstate.State) {
+	if state.Number == router.number {
+		return
 	}
-	router.active[best]++
-	return lwtrouter.Choice{Engine: best}, nil
+	router.number = state.Number
+	router.view.WithState(state)
+	router.admission.WithPolicy(lwtadmission.Policy{
+		Objectives: state.Objectives, BetweenTokens: lwtrouter.DefaultBetweenTokens,
+	})
 }
 
 // Report implements lwtentry.Router.
-func (router *router) Report(time.Time, string, lwtengine.Load) {}
+func (router *router) Report(now time.Time, engine string, load lwtengine.Load) {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	router.view.WithReport(engine, load.Report(now))
+}
+
+// FirstToken implements lwtentry.Router.
+func (router *router) FirstToken(now time.Time, request lwtrouter.Request, choice lwtrouter.Choice) {
+	state, _ := router.declared.State()
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	took := now.Sub(choice.At)
+	router.view.WithFirstToken(request, choice, took)
+	if objective := state.Objectives[request.Class]; objective.FirstToken > 0 {
+		router.admission.WithResult(request.Class, took <= objective.FirstToken.Std())
+	}
+}
+
+// Answered implements lwtentry.Router.
+func (router *router) Answered(now time.Time, request lwtrouter.Request, choice lwtrouter.Choice, tokens int) {
+	state, _ := router.declared.State()
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	router.lengths.WithAnswer(request.Class, tokens)
+	if objective := state.Objectives[request.Class]; objective.Whole > 0 && now.Sub(choice.At) > objective.Whole.Std() {
+		router.admission.WithResult(request.Class, false)
+	}
+}
 
 // Done implements lwtentry.Router.
-func (router *router) Done(_ time.Time, _ lwtrouter.Request, choice lwtrouter.Choice, _ bool) {
+func (router *router) Done(now time.Time, _ lwtrouter.Request, choice lwtrouter.Choice, failed bool) {
+	if !failed {
+		return
+	}
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	router.view.WithDown(choice.Engine, now.Add(downTime))
+}
+
+// setPlanned sets the groups whose roles this daemon plans. All their engines
+// are polled.
+func (router *router) setPlanned(groups map[string]bool) {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	router.planned = groups
+}
+
+// SetDaemons sets the number of daemons that send to the same engines.
+func (router *router) SetDaemons(count int) {
 	router.mutex.Lock()
 	defer router.mutex.Unlock()
-	router.active[choice.Engine]--
+	router.view.WithSenders(count)
 }
--- /dev/null
+++ b/io/lwtdaemon/router_poll.go
@@ -0,0 +1,118 @@
+package lwtdaemon
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/panjf2000/ants/v2"
+
+	"lacewingtide/core/lwtrouter"
+	"lacewingtide/io/lwtengine"
+	"lacewingtide/io/lwtlog"
+	"lacewingtide/io/lwtloop"
+)
+
+const (
+	pollTick = 250 * time.Millisecond
+	// pollAge is the age of a load report from which the engine is polled.
+	pollAge = time.Second
+	// cacheInterval is the time between two reads of an engine's cache events.
+	cacheInterval = time.Second
+	pollsAtOnce   = 16
+)
+
+// routerPoll keeps the routing view fresh where no answers do: it polls the
+// load of idle engines and reads cache events.
+type routerPoll struct {
+	router  *router
+	engines *lwtengine.Client
+	logger  log.Logger
+	pool    *ants.Pool
+	// polled is the time of the last poll of each engine, by address.
+	polled map[string]time.Time
+	read   map[string]time.Time
+}
+
+func newRouterPoll(router *router, engines *lwtengine.Client, logger log.Logger) *routerPoll {
+	return &routerPoll{
+		router: router, engines: engines, logger: logger, pool: newPool(pollsAtOnce),
+		polled: map[string]time.Time{}, read: map[string]time.Time{},
+	}
+}
+
+// Serve implements suture.Service.
+func (poll *routerPoll) Serve(ctx context.Context) error {
+	return lwtloop.Tick(ctx, pollTick, poll.tick)
+}
+
+// String names the part in logs.
+func (poll *routerPoll) String() string { return "router-poll" }
+
+func (poll *routerPoll) tick(now time.Time) {
+	for _, status := range poll.router.statuses(now) {
+		name, address := status.Name, status.Declared.Address
+		if now.Sub(status.ReportedAt) >= pollAge && now.Sub(poll.polled[address]) >= pollAge {
+			poll.polled[address] = now
+			poll.submit(name, func() { poll.load(name, address) })
+		}
+		if now.Sub(poll.read[address]) >= cacheInterval {
+			poll.read[address] = now
+			poll.submit(name, func() { poll.cache(name, address) })
+		}
+	}
+}
+
+func (poll *routerPoll) submit(engine string, call func()) {
+	if err := poll.pool.Submit(call); err != nil {
+		lwtlog.Warn(poll.logger, "poll-skipped", "engine", engine, "err", err)
+	}
+}
+
+func (poll *routerPoll) load(name, address string) {
+	load, err := poll.engines.Load(address)
+	if err != nil {
+		lwtlog.Debug(poll.logger, "poll-failed", "engine", name, "err", err)
+		return
+	}
+	poll.router.Report(time.Now(), name, load)
+}
+
+func (poll *routerPoll) cache(name, address string) {
+	events, err := poll.engines.CacheEvents(address, poll.router.cacheCursor(name))
+	if err != nil {
+		lwtlog.Debug(poll.logger, "cache-read-failed", "engine", name, "err", err)
+		return
+	}
+	poll.router.cacheEvents(name, events)
+}
+
+// statuses returns the engines that the daemon sends work to or plans the roles
+// of, and takes note of those that are drained.
+func (router *router) statuses(now time.Time) []lwtrouter.Status {
+	state, _ := router.declared.State()
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	router.declare(state)
+	statuses := router.view.Statuses(now)
+	for _, status := range statuses {
+		router.view.WithUnwanted(status.Name, router.draining(status.Name))
+	}
+	// The other engines of a large fleet are not this daemon's concern.
+	return slices.DeleteFunc(statuses, func(status lwtrouter.Status) bool {
+		return !status.Used && !router.planned[status.Declared.Group]
+	})
+}
+
+func (router *router) cacheCursor(engine string) int64 {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	return router.view.CacheCursor(engine)
+}
+
+func (router *router) cacheEvents(engine string, events []lwtrouter.CacheEvent) {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	router.view.WithCacheEvents(engine, events)
+}
--- /dev/null
+++ b/io/lwtengine/cache.go
@@ -0,0 +1,46 @@
+package lwtengine
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"lacewingtide/core/lwtrouter"
+)
+
+// CacheEvents reads the changes of an engine's prefix cache after a sequence
+// number. Events that the engine no longer keeps are missing.
+func (client *Client) CacheEvents(address string, after int64) ([]lwtrouter.CacheEvent, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + address + "/v1/cache-events?after=" + strconv.FormatInt(after, 10))
+	if err := client.host(address).DoTimeout(request, response, ProgressTimeout); err != nil {
+		return nil, fmt.Errorf("read cache events of %s: %w", address, err)
+	}
+	var answer struct {
+		Events []struct {
+			Sequence int64 `json:"sequence"`
+			// Prefix is a hexadecimal hash.
+			Prefix  string `json:"prefix"`
+			Evicted bool   `json:"evicted"`
+		} `json:"events"`
+	}
+	if response.StatusCode() != fasthttp.StatusOK {
+		return nil, fmt.Errorf("read cache events of %s: status %d", address, response.StatusCode())
+	}
+	if err := json.Unmarshal(readAll(response), &answer); err != nil {
+		return nil, fmt.Errorf("decode cache events of %s: %w", address, err)
+	}
+	events := make([]lwtrouter.CacheEvent, 0, len(answer.Events))
+	for _, event := range answer.Events {
+		prefix, err := strconv.ParseUint(event.Prefix, 16, 64)
+		if err != nil {
+			return nil, fmt.Errorf("decode cache event %d of %s: %w", event.Sequence, address, err)
+		}
+		events = append(events, lwtrouter.CacheEvent{Sequence: event.Sequence, Prefix: prefix, Evicted: event.Evicted})
+	}
+	return events, nil
+}
--- a/io/lwtengine/client.go
+++ b/io/lwtengine/client.go
@@ -43,6 +43,7 @@
 	WaitingTokens int `json:"waiting-tokens"`
 	// FreeBlocks is the free memory in blocks of 2,048 tokens.
 	FreeBlocks int `json:"free-blocks"`
+	LoadDetail
 }
 
 // Call is one completion to run on an engine.
--- /dev/null
+++ b/io/lwtengine/load.go
@@ -0,0 +1,44 @@
+package lwtengine
+
+import (
+	"time"
+
+	"lacewingtide/core/lwtrouter"
+	"lacewingtide/core/lwtstate"
+)
+
+// LoadDetail is the part of a load report that an engine may leave out.
+type LoadDetail struct {
+	// Role is the role in which the engine runs.
+	Role lwtstate.Role `json:"role,omitempty"`
+	// Changing says that an order is being carried out.
+	Changing bool `json:"changing,omitempty"`
+	// WaitingByPriority splits the prompt tokens still to prefill by priority,
+	// lowest first.
+	WaitingByPriority []int `json:"waiting-by-priority,omitempty"`
+	// PrefillRate is in prompt tokens per second.
+	PrefillRate float64 `json:"prefill-rate,omitempty"`
+	// AgeMilliseconds is the time since the engine measured its load.
+	AgeMilliseconds int64 `json:"age-milliseconds,omitempty"`
+}
+
+// transit is the least time from an engine's measurement to its arrival.
+const transit = time.Millisecond
+
+// Report returns the load as the router takes it. Tokens whose priority is not
+// reported count for every priority.
+func (load Load) Report(now time.Time) lwtrouter.Report {
+	report := lwtrouter.Report{
+		TakenAt:     now.Add(-transit - time.Duration(load.AgeMilliseconds)*time.Millisecond),
+		Incarnation: load.Incarnation, Role: load.Role, Changing: load.Changing,
+		Running: load.Running, Waiting: load.Waiting, FreeBlocks: load.FreeBlocks, PrefillRate: load.PrefillRate,
+	}
+	if len(load.WaitingByPriority) == 0 {
+		report.WaitingTokens[lwtrouter.Priorities-1] = load.WaitingTokens
+		return report
+	}
+	for priority, tokens := range load.WaitingByPriority {
+		report.WaitingTokens[min(priority, lwtrouter.Priorities-1)] += tokens
+	}
+	return report
+}
--- a/io/lwtentry/collect.go
+++ b/io/lwtentry/collect.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"strings"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -24,9 +23,7 @@
 	var answer collected
 	stop := WatchCaller(ctx.Conn(), relay.callerGone)
 	err := relay.each(func(event lwtengine.Event) error {
-		if relay.call.first.IsZero() {
-			relay.call.first = time.Now()
-		}
+		relay.markFirst()
 		return answer.add(event.Data)
 	})
 	stop()
--- a/io/lwtentry/completion.go
+++ b/io/lwtentry/completion.go
@@ -124,6 +124,7 @@
 			Class:            class,
 			PromptTokens:     body.promptTokens(),
 			OutputTokens:     body.outputTokens(),
+			Prefixes:         lwtrouter.Prefixes(body.Model, body.Messages),
 			AvailabilityZone: server.dependencies.AvailabilityZone,
 		},
 		// The request's buffer returns to a pool with ctx, which may end before a retry.
--- a/io/lwtentry/relay.go
+++ b/io/lwtentry/relay.go
@@ -210,9 +210,7 @@
 }
 
 func (relay *relay) write(w *bufio.Writer, event lwtengine.Event) error {
-	if relay.call.first.IsZero() {
-		relay.call.first = time.Now()
-	}
+	relay.markFirst()
 	relay.id = relay.signer.AppendID(relay.id[:0], lwtstream.Position{
 		Engine: relay.call.choice.Engine, Stream: relay.call.id, Offset: relay.sequence.Next(),
 	})
@@ -248,6 +246,9 @@
 	if errors.As(err, &gone) && call.repeatable() && !relay.gone.Load() {
 		relay.cancel()
 	}
+	if err == nil {
+		relay.markAnswered()
+	}
 	server.leave(call, err != nil && gone == nil)
 	call.release()
 	outcome := OutcomeDone
--- a/io/lwtentry/server.go
+++ b/io/lwtentry/server.go
@@ -31,6 +31,10 @@
 	Pick(now time.Time, request lwtrouter.Request) (lwtrouter.Choice, error)
 	// Report takes a load report of an engine.
 	Report(now time.Time, engine string, load lwtengine.Load)
+	// FirstToken tells that the first token of a placed request has come.
+	FirstToken(now time.Time, request lwtrouter.Request, choice lwtrouter.Choice)
+	// Answered tells that a placed request has its whole answer.
+	Answered(now time.Time, request lwtrouter.Request, choice lwtrouter.Choice, tokens int)
 	// Done tells that a placed request has left its engine; failed says that
 	// the engine gave no whole answer.
 	Done(now time.Time, request lwtrouter.Request, choice lwtrouter.Choice, failed bool)
--- a/io/lwtstandin/engine.go
+++ b/io/lwtstandin/engine.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"lacewingtide/core/lwtrouter"
 	"lacewingtide/core/lwtstate"
 )
 
@@ -79,6 +80,7 @@
 	started     int64
 	prompts     map[string]bool
 	orders      engineOrders
+	cache       engineCache
 	// gate is held while the engine is paused.
 	gate sync.RWMutex
 }
@@ -91,6 +93,7 @@
 		incarnation: incarnation,
 		streams:     map[string]*engineStream{},
 		prompts:     map[string]bool{},
+		cache:       newEngineCache(),
 		wake:        make(chan struct{}, 1),
 		state:       initialState(options, incarnation),
 	}
@@ -235,15 +238,27 @@
 	WaitingTokens int `json:"waiting-tokens"`
 	// FreeBlocks is the free memory in blocks of 2,048 tokens.
 	FreeBlocks int `json:"free-blocks"`
+	// Role is the role in which the engine runs.
+	Role lwtstate.Role `json:"role"`
+	// Changing says that an order is being carried out.
+	Changing bool `json:"changing"`
+	// WaitingByPriority splits WaitingTokens by priority, lowest first.
+	WaitingByPriority [lwtrouter.Priorities]int `json:"waiting-by-priority"`
+	// PrefillRate is in prompt tokens per second.
+	PrefillRate float64 `json:"prefill-rate"`
 }
 
 func (engine *Engine) load() Load {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
-	load := Load{Incarnation: engine.incarnation, Running: len(engine.running), Waiting: len(engine.waiting)}
+	load := Load{
+		Incarnation: engine.incarnation, Running: len(engine.running), Waiting: len(engine.waiting),
+		Role: engine.state.Role, Changing: engine.state.Changing, PrefillRate: engine.options.PrefillRate,
+	}
 	tokens := 0
 	for _, stream := range engine.waiting {
 		load.WaitingTokens += stream.promptLeft
+		load.WaitingByPriority[min(max(0, stream.priority), lwtrouter.Priorities-1)] += stream.promptLeft
 		tokens += stream.promptTokens
 	}
 	for _, stream := range engine.running {
--- a/io/lwtstandin/engine_http.go
+++ b/io/lwtstandin/engine_http.go
@@ -51,6 +51,8 @@
 		engine.handleStream(ctx, strings.TrimPrefix(path, streamsPath))
 	case path == "/v1/load":
 		writeJSON(ctx, engine.load())
+	case path == cacheEventsPath:
+		engine.handleCacheEvents(ctx)
 	case path == "/v1/state":
 		engine.handleState(ctx)
 	case path == ordersPath:
@@ -78,6 +80,7 @@
 		refuse(ctx, fasthttp.StatusServiceUnavailable, err)
 		return
 	}
+	engine.reuse(stream, requestPrefixes(ctx.PostBody()))
 	engine.writeStream(ctx, stream, 0)
 }
 
