--- /dev/null
+++ b/core/lwtadmission/length.go
@@ -0,0 +1,49 @@
+package lwtadmission
+
+import "lacewingtide/core/lwtstate"
+
+const (
+	// lengthWeight is the weight of the last answer in the mean length of its class.
+	lengthWeight = 0.01
+	// firstLength is the expected length, in tokens, before a class has an
+	// answer. It is short: a class that is expected to be too long for its
+	// deadline would be rejected and so never be learned.
+	firstLength = 32
+)
+
+// Lengths learns how long the answers of each class are. Callers' limits say
+// little: most answers end long before them.
+type Lengths struct {
+	means map[lwtstate.Class]float64
+}
+
+// NewLengths returns lengths that know nothing yet.
+func NewLengths() *Lengths { return &Lengths{means: map[lwtstate.Class]float64{}} }
+
+// WithAnswer learns the length of an answer in tokens.
+func (lengths *Lengths) WithAnswer(class lwtstate.Class, tokens int) *Lengths {
+	mean, found := lengths.means[class]
+	if !found {
+		mean = float64(tokens)
+	}
+	lengths.means[class] = mean + lengthWeight*(float64(tokens)-mean)
+	return lengths
+}
+
+// Expected returns the expected length of an answer of at most limit tokens.
+func (lengths *Lengths) Expected(class lwtstate.Class, limit int) int {
+	mean, found := lengths.means[class]
+	if !found {
+		mean = firstLength
+	}
+	return max(1, min(limit, int(mean)))
+}
+
+// Longest returns the mean length of the class with the longest answers.
+func (lengths *Lengths) Longest() int {
+	longest := 0.0
+	for _, mean := range lengths.means {
+		longest = max(longest, mean)
+	}
+	return int(longest)
+}
--- a/io/lwtdaemon/lease.go
+++ b/io/lwtdaemon/lease.go
@@ -1,6 +1,7 @@
 package lwtdaemon
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -103,9 +104,11 @@
 	return authority.stopping && authority.groups[name].order.Idle(time.Now())
 }
 
-// Shutdown stops sending orders and releases the leases. It returns when all
-// are released or after releaseTimeout.
-func (authority *authority) Shutdown() {
+// Release implements Releaser: it stops sending orders and releases the leases.
+// A lease that is not released within leaseReleaseTimeout ends by itself.
+func (authority *authority) Release(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaseReleaseTimeout)
+	defer cancel()
 	authority.mutex.Lock()
 	authority.stopping = true
 	names := make([]string, 0, len(authority.groups))
@@ -116,10 +119,14 @@
 	for _, name := range names {
 		authority.update(groupMsg{group: name, order: lwtorder.Stop{}})
 	}
-	deadline := time.Now().Add(releaseTimeout)
-	for time.Now().Before(deadline) && !authority.released() {
-		time.Sleep(lwtlease.TickInterval / 5)
+	for !authority.released() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(lwtlease.TickInterval / 5):
+		}
 	}
+	return nil
 }
 
 func (authority *authority) released() bool {
--- a/io/lwtentry/server.go
+++ b/io/lwtentry/server.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -30,6 +31,10 @@
 	Pick(now time.Time, request lwtrouter.Request) (lwtrouter.Choice, error)
 	// Report takes a load report of an engine.
 	Report(now time.Time, engine string, load lwtengine.Load)
+	// FirstToken tells that the first token of a placed request has come.
+	FirstToken(now time.Time, request lwtrouter.Request, choice lwtrouter.Choice)
+	// Answered tells that a placed request has its whole answer.
+	Answered(now time.Time, request lwtrouter.Request, choice lwtrouter.Choice, tokens int)
 	// Done tells that a placed request has left its engine; failed says that
 	// the engine gave no whole answer.
 	Done(now time.Time, request lwtrouter.Request, choice lwtrouter.Choice, failed bool)
@@ -87,6 +92,8 @@
 	// Name identifies the daemon in request ids.
 	Name             string
 	AvailabilityZone string
+	// ReadTimeout bounds the time to read one request; zero means 15 s.
+	ReadTimeout time.Duration
 }
 
 // Bounds of callers' requests.
@@ -104,29 +111,37 @@
 type Server struct {
 	dependencies Dependencies
 	ids          *idSource
+	retries      *retries
 	http         *fasthttp.Server
+	draining     atomic.Bool
 }
 
 // New returns a server.
 func New(dependencies Dependencies) *Server {
-	server := &Server{dependencies: dependencies, ids: newIDSource(dependencies.Name)}
+	server := &Server{dependencies: dependencies, ids: newIDSource(dependencies.Name), retries: newRetries()}
+	if dependencies.ReadTimeout == 0 {
+		dependencies.ReadTimeout = readTimeout
+	}
 	server.http = &fasthttp.Server{
-		Handler:               server.handle,
+		Handler:               server.answer,
 		ErrorHandler:          handleProtocolError,
 		MaxRequestBodySize:    maxBodyBytes,
 		ReadBufferSize:        maxHeaderBytes,
-		ReadTimeout:           readTimeout,
+		ReadTimeout:           dependencies.ReadTimeout,
 		IdleTimeout:           idleTimeout,
 		Concurrency:           maxConnections,
 		NoDefaultServerHeader: true,
+		Logger:                lwtlog.NewPrinter(dependencies.Logger, "caller-connection-failed"),
 		CloseOnShutdown:       true,
+		// Bodies of calls to services pass through unchanged.
+		DisablePreParseMultipartForm: true,
 	}
 	return server
 }
 
 // Serve answers callers on a listener until Shutdown is called.
 func (server *Server) Serve(listener net.Listener) error {
-	return server.http.Serve(listener)
+	return server.http.Serve(callerListener{listener})
 }
 
 // Shutdown stops accepting connections and waits for running requests.
@@ -134,6 +149,15 @@
 	return server.http.Shutdown()
 }
 
+// answer handles a request. Handlers may replace the whole answer, so that the
+// connection's end is set last.
+func (server *Server) answer(ctx *fasthttp.RequestCtx) {
+	server.handle(ctx)
+	if server.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
 func (server *Server) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	if path == "/healthz" {
@@ -167,8 +191,8 @@
 	addresses, keep := server.dependencies.Addresses.Answer(time.Now(), caller.Name)
 	writeJSON(ctx, struct {
 		Addresses   []string `json:"entry-addresses"`
-		KeepSeconds int      `json:"keep-seconds"`
-	}{addresses, int(keep / time.Second)})
+		KeepSeconds float64  `json:"keep-seconds"`
+	}{addresses, keep.Seconds()})
 }
 
 func (server *Server) handleService(
--- a/io/lwtstandin/engine_http.go
+++ b/io/lwtstandin/engine_http.go
@@ -37,9 +37,8 @@
 
 // Serve answers calls on a listener until it is closed.
 func (engine *Engine) Serve(listener net.Listener) error {
-	server := &fasthttp.Server{
-		Handler: engine.handle, NoDefaultServerHeader: true, HeaderReceived: engine.startOrderTimer,
-	}
+	server := newServer(engine.handle)
+	server.HeaderReceived = engine.startOrderTimer
 	return server.Serve(listener)
 }
 
@@ -52,6 +51,8 @@
 		engine.handleStream(ctx, strings.TrimPrefix(path, streamsPath))
 	case path == "/v1/load":
 		writeJSON(ctx, engine.load())
+	case path == cacheEventsPath:
+		engine.handleCacheEvents(ctx)
 	case path == "/v1/state":
 		engine.handleState(ctx)
 	case path == ordersPath:
@@ -79,6 +80,7 @@
 		refuse(ctx, fasthttp.StatusServiceUnavailable, err)
 		return
 	}
+	engine.reuse(stream, requestPrefixes(ctx.PostBody()))
 	engine.writeStream(ctx, stream, 0)
 }
 
@@ -146,11 +148,15 @@
 }
 
 func writeToken(w *bufio.Writer, stream *engineStream, offset int) {
+	stamp := ""
+	if stream.stamp {
+		stamp = fmt.Sprintf("\"written\":%d,", time.Now().UnixNano())
+	}
 	// A write error shows at the next flush.
-	_, _ = fmt.Fprintf(w, "id: %s/%d\ndata: {\"id\":\"chatcmpl-%s\",\"object\":\"chat.completion.chunk\","+
+	_, _ = fmt.Fprintf(w, "id: %s/%d\ndata: {%s\"id\":\"chatcmpl-%s\",\"object\":\"chat.completion.chunk\","+
 		"\"created\":0,\"model\":%q,\"choices\":[{\"index\":0,\"delta\":{\"role\":\"assistant\",\"content\":%q},"+
 		"\"finish_reason\":null}]}\n\n",
-		stream.id, offset, stream.id, stream.model, Token(stream.prompt, offset))
+		stream.id, offset, stamp, stream.id, stream.model, Token(stream.prompt, offset))
 }
 
 func writeEnd(w *bufio.Writer, stream *engineStream, offset int) {
