--- /dev/null
+++ b/core/lwtlease/lease_test.go
@@ -0,0 +1,108 @@
+package lwtlease_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lacewingtide/core/lwtlease"
+)
+
+const self = "d1/1"
+
+// granted returns a model that was granted a lease by a commit sent at a time
+// and answered at another one.
+func granted(t *testing.T, sent, answered time.Time) lwtlease.Model {
+	t.Helper()
+	model := lwtlease.New("g1", self)
+	model, cmds := model.Update(sent, lwtlease.Tick{})
+	model, cmds = model.Update(sent, lwtlease.RowRead{Request: cmds[0].(lwtlease.Read).Request})
+	commit := cmds[0].(lwtlease.Commit)
+	row := commit.Row
+	row.Version = 1
+	model, _ = model.Update(answered, lwtlease.Committed{Request: commit.Request, Row: row})
+	return model
+}
+
+// TestExpiryCountsFromBeforeTheRequest guards against a lease that outlives the
+// successor's wait because the answer to its write was slow.
+func TestExpiryCountsFromBeforeTheRequest(t *testing.T) {
+	sent := time.Now()
+	lease := granted(t, sent, sent.Add(2*time.Second)).Lease()
+	if want := sent.Add(9900 * time.Millisecond); !lease.Until.Equal(want) {
+		t.Errorf("until %s, want %s", lease.Until, want)
+	}
+}
+
+// TestSuspendedClockEndsLease guards against a lease that seems valid after the
+// VM was suspended and its monotonic clock stood still.
+func TestSuspendedClockEndsLease(t *testing.T) {
+	sent := time.Now()
+	lease := granted(t, sent, sent).Lease()
+	wall := lwtlease.Lease{Fencing: lease.Fencing, Until: lease.Until}
+	if !wall.Valid(sent.Add(9 * time.Second)) {
+		t.Error("the lease ended early")
+	}
+	// Without its monotonic part, the time compares by the wall clock alone.
+	if wall.Valid(sent.Add(10 * time.Second).Round(0)) {
+		t.Error("the lease outlived the wall clock")
+	}
+}
+
+// TestStandbysReadLittle guards against store reads by every daemon for every
+// group, which the store could not answer at the target size.
+func TestStandbysReadLittle(t *testing.T) {
+	now := time.Now()
+	var members []string
+	for i := range 100 {
+		members = append(members, fmt.Sprintf("d%d/1", i))
+	}
+	reading := 0
+	for _, member := range members {
+		model, _ := lwtlease.New("g1", member).Update(now, lwtlease.Members{Names: members})
+		if _, cmds := model.Update(now, lwtlease.Tick{}); len(cmds) > 0 {
+			reading++
+		}
+	}
+	if reading != lwtlease.Candidates {
+		t.Errorf("%d daemons read, want %d", reading, lwtlease.Candidates)
+	}
+}
+
+// tickUntil sends ticks from a time on until the model has a request to send.
+func tickUntil(model lwtlease.Model, from time.Time) (lwtlease.Model, time.Time, lwtlease.Cmd) {
+	for now := from; ; now = now.Add(lwtlease.TickInterval) {
+		next, cmds := model.Update(now, lwtlease.Tick{})
+		for _, cmd := range cmds {
+			if _, notice := cmd.(lwtlease.Notice); !notice {
+				return next, now, cmd
+			}
+		}
+		model = next
+	}
+}
+
+// TestLostRenewalIsReadBack guards against counting a renewal without an answer
+// as granted or as refused before the row was read.
+func TestLostRenewalIsReadBack(t *testing.T) {
+	start := time.Now()
+	model, renewed, cmd := tickUntil(granted(t, start, start), start)
+	commit := cmd.(lwtlease.Commit)
+	model, _ = model.Update(renewed, lwtlease.Committed{Request: commit.Request, Failed: true})
+	if until := model.Lease().Until; !until.Equal(start.Add(9900 * time.Millisecond)) {
+		t.Fatalf("the lost answer changed the end to %s", until)
+	}
+	model, now, cmd := tickUntil(model, renewed)
+	row := commit.Row
+	row.Version = 2
+	model, _ = model.Update(now, lwtlease.RowRead{Request: cmd.(lwtlease.Read).Request, Row: row})
+	if until := model.Lease().Until; !until.Equal(renewed.Add(9900 * time.Millisecond)) {
+		t.Errorf("until %s after the read", until)
+	}
+	model, now, cmd = tickUntil(model, now)
+	row.Holder, row.Version = "d2/1", 3
+	model, _ = model.Update(now, lwtlease.Committed{Request: cmd.(lwtlease.Commit).Request, Row: row, Conflict: true})
+	if model.Lease().Fencing != 0 {
+		t.Error("the lease outlived another holder's row")
+	}
+}
--- a/core/lwtorder/choose.go
+++ b/core/lwtorder/choose.go
@@ -24,13 +24,7 @@
 	if !model.lease.Valid(now) {
 		return model, nil
 	}
-	for name, engine := range model.engines {
-		if engine.phase == PhaseDraining && !engine.differs {
-			// The declared state went back to what the engine runs.
-			engine.phase, engine.reason, engine.out = PhaseSteady, "", false
-			model.engines[name] = engine
-		}
-	}
+	model.clearEqual()
 	var cmds []Cmd
 	if !model.headRead && !now.Before(model.headAt) {
 		model.headAt = now.Add(headTimeout)
@@ -41,6 +35,38 @@
 			cmds = append(cmds, cmd)
 		}
 	}
+	cmds = append(cmds, model.dueReads(now)...)
+	if model.mayReserve && model.atRest() {
+		model.mayReserve = false
+		cmds = append(cmds, Free{Group: model.group})
+	}
+	if above := model.highestFencing(); above > model.lease.Fencing {
+		cmds = append(cmds, RaiseFencing{Group: model.group, Above: above})
+	}
+	return model, cmds
+}
+
+// clearEqual ends the waits of engines that run what they should. It modifies
+// the model's own engine map.
+func (model Model) clearEqual() {
+	for name, engine := range model.engines {
+		if engine.differs {
+			continue
+		}
+		if engine.phase == PhaseDraining {
+			// The declared state went back to what the engine runs.
+			engine.phase, engine.out = PhaseSteady, false
+		}
+		if engine.phase == PhaseSteady && (engine.reason != "" || engine.reserved != nil || model.engines[name].out) {
+			engine.reason, engine.reserved = "", nil
+			model.engines[name] = engine
+		}
+	}
+}
+
+// dueReads begins the reads that are due. It modifies the model's own engine map.
+func (model *Model) dueReads(now time.Time) []Cmd {
+	var cmds []Cmd
 	for _, name := range model.names {
 		if engine := model.engines[name]; engine.readDue(now) {
 			model.attempts++
@@ -52,14 +78,7 @@
 			cmds = append(cmds, ReadState{Engine: name, Address: engine.declared.Address, Attempt: engine.attempt})
 		}
 	}
-	if model.mayReserve && model.atRest() {
-		model.mayReserve = false
-		cmds = append(cmds, Free{Group: model.group})
-	}
-	if above := model.highestFencing(); above > model.lease.Fencing {
-		cmds = append(cmds, RaiseFencing{Group: model.group, Above: above})
-	}
-	return model, cmds
+	return cmds
 }
 
 // highestFencing returns the highest fencing number that an engine of the group
@@ -83,21 +102,24 @@
 	return true
 }
 
-// byFewestCopies returns the engines' names, those first whose next load is of
-// a model with the fewest serving copies in the group.
+// byFewestCopies returns the names of the engines that may begin or go on with a
+// change, those first whose next load is of a model with the fewest serving
+// copies in the group.
 func (model Model) byFewestCopies() []string {
-	copies := func(name string) int {
-		engine, fewest := model.engines[name], len(model.engines)
-		if !engine.differs {
-			return fewest
+	var names []string
+	copies := map[string]int{}
+	for _, name := range model.names {
+		engine := model.engines[name]
+		if !engine.differs || engine.reserving || (engine.phase != PhaseSteady && engine.phase != PhaseDraining) {
+			continue
 		}
+		names = append(names, name)
+		copies[name] = len(model.engines)
 		for _, loaded := range engine.target.loads(engine.state.Content) {
-			fewest = min(fewest, model.serving(loaded, name))
+			copies[name] = min(copies[name], model.serving(loaded, name))
 		}
-		return fewest
 	}
-	names := slices.Clone(model.names)
-	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(copies(a), copies(b)) })
+	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(copies[a], copies[b]) })
 	return names
 }
 
@@ -112,23 +134,13 @@
 	return count
 }
 
-// advance moves one engine on if it differs from its target. It modifies the
+// advance moves one engine on that differs from its target. It modifies the
 // model's own engine map.
 func (model *Model) advance(now time.Time, name string) Cmd {
 	engine := model.engines[name]
-	if engine.phase != PhaseSteady && engine.phase != PhaseDraining {
-		return nil
-	}
 	if engine.phase == PhaseSteady {
 		engine.reason = ""
 	}
-	if !engine.differs {
-		engine.reserved = nil
-	}
-	if !engine.differs || engine.reserving {
-		model.engines[name] = engine
-		return nil
-	}
 	next, cmd := model.decide(now, engine)
 	model.engines[name] = next
 	return cmd
--- /dev/null
+++ b/core/lwtorder/model_test.go
@@ -0,0 +1,130 @@
+package lwtorder_test
+
+import (
+	"testing"
+	"time"
+
+	"lacewingtide/core/lwtlease"
+	"lacewingtide/core/lwtorder"
+	"lacewingtide/core/lwtstate"
+)
+
+// stepper drives the model of a group with one engine that ignores fencing
+// numbers, and answers its requests.
+type stepper struct {
+	t     *testing.T
+	now   time.Time
+	model lwtorder.Model
+	read  lwtorder.ReadState
+	sent  []lwtorder.SendOrder
+	state lwtstate.State
+}
+
+func newStepper(t *testing.T) *stepper {
+	stepper := &stepper{t: t, now: time.Now(), model: lwtorder.New("g"), state: lwtstate.New()}
+	stepper.declare("a")
+	stepper.authorize(1)
+	return stepper
+}
+
+func (stepper *stepper) send(msg lwtorder.Msg) {
+	next, cmds := stepper.model.Update(stepper.now, msg)
+	stepper.model = next
+	for _, cmd := range cmds {
+		switch cmd := cmd.(type) {
+		case lwtorder.ReadState:
+			stepper.read = cmd
+		case lwtorder.SendOrder:
+			stepper.sent = append(stepper.sent, cmd)
+		case lwtorder.ReadHead:
+			stepper.send(lwtorder.HeadRead{Fencing: cmd.Fencing, Number: stepper.state.Number})
+		}
+	}
+}
+
+func (stepper *stepper) declare(models ...string) {
+	engine := declared("g", "e1")
+	engine.Models = models
+	stepper.state = stepper.state.WithChange(lwtstate.Change{
+		Number: stepper.state.Number + 1, Engines: []lwtstate.Engine{engine},
+		Models: []lwtstate.Model{{Name: "a", Version: "1"}, {Name: "b", Version: "1"}},
+	})
+	stepper.send(lwtorder.Declare{State: stepper.state})
+}
+
+func (stepper *stepper) authorize(fencing int64) {
+	stepper.send(lwtorder.Authority{Lease: lwtlease.Lease{
+		Group: "g", Fencing: fencing, Until: stepper.now.Add(lwtlease.Duration),
+	}})
+}
+
+// answerRead answers the open read with an engine that runs model a.
+func (stepper *stepper) answerRead() {
+	stepper.send(lwtorder.StateRead{Engine: "e1", Attempt: stepper.read.Attempt, State: lwtorder.State{
+		Incarnation: 1,
+		Content:     lwtorder.Content{Role: lwtstate.RoleMixed, Models: map[string]string{"a": "1"}},
+	}})
+}
+
+func (stepper *stepper) tick() {
+	stepper.now = stepper.now.Add(lwtorder.TickInterval)
+	stepper.send(lwtorder.Tick{})
+}
+
+func (stepper *stepper) expectOrders(want int) {
+	stepper.t.Helper()
+	if len(stepper.sent) != want {
+		stepper.t.Fatalf("%d orders, want %d: %+v", len(stepper.sent), want, stepper.model.Status())
+	}
+}
+
+// TestTwoReadsBeforeFirstOrder guards against an order to an engine that ignores
+// fencing numbers after a single read, which may precede an earlier holder's
+// order.
+func TestTwoReadsBeforeFirstOrder(t *testing.T) {
+	stepper := newStepper(t)
+	stepper.declare("a", "b")
+	stepper.answerRead()
+	stepper.expectOrders(0)
+	stepper.tick()
+	stepper.answerRead()
+	stepper.expectOrders(1)
+}
+
+// TestNothingBeforeNewReadAfterPause guards against an order that rests on a
+// state read before a pause.
+func TestNothingBeforeNewReadAfterPause(t *testing.T) {
+	stepper := newStepper(t)
+	for range 2 {
+		stepper.tick()
+		stepper.answerRead()
+	}
+	stepper.now = stepper.now.Add(lwtlease.PauseLimit + 2*lwtorder.TickInterval)
+	stepper.declare("a", "b")
+	stepper.expectOrders(0)
+}
+
+// TestOwnOrderOnItsWayDelaysTheNext guards against a second order, under a new
+// fencing number of the same daemon, while its first one can still take effect.
+func TestOwnOrderOnItsWayDelaysTheNext(t *testing.T) {
+	stepper := newStepper(t)
+	end := stepper.now.Add(lwtlease.Duration)
+	stepper.declare("a", "b")
+	for range 2 {
+		stepper.tick()
+		stepper.answerRead()
+	}
+	stepper.expectOrders(1)
+	stepper.authorize(2)
+	for stepper.now.Before(end.Add(-lwtorder.TickInterval)) {
+		stepper.tick()
+		stepper.answerRead()
+		stepper.authorize(2)
+	}
+	stepper.expectOrders(1)
+	for range 4 {
+		stepper.tick()
+		stepper.answerRead()
+	}
+	stepper.expectOrders(2)
+}
