--- a/io/lwtentry/completion.go
+++ b/io/lwtentry/completion.go
@@ -199,13 +199,6 @@
 // certainly did not run it, or when the request may run more than once.
 func (server *Server) place(state lwtstate.State, call *completion) (*lwtengine.Stream, *APIError) {
 	outcome, deadline := lwtretry.NotSent, time.Now().Add(attemptPatience)
-	// A failed engine stays counted until the end, so that the router prefers another one.
-	var failed []lwtrouter.Choice
-	defer func() {
-		for _, choice := range failed {
-			server.dependencies.Router.Done(time.Now(), call.request, choice, true)
-		}
-	}()
 	for number := 1; ; number++ {
 		choice, err := server.dependencies.Router.Pick(time.Now(), call.request)
 		if err != nil {
@@ -223,7 +216,8 @@
 			server.learn(choice, events)
 			return events, nil
 		}
-		failed = append(failed, choice)
+		// The router prefers other engines from now on.
+		server.dependencies.Router.Done(time.Now(), call.request, choice, true)
 		server.log(call.id, "engine-attempt-failed", "engine", choice.Engine, "err", err)
 		ended := lwtretry.Attempt{
 			Outcome: attemptOutcome(err), Idempotent: call.repeatable(), Number: number, Deadline: deadline,
