Shorten the shutdown in the test of a daemon's orders

Cause: the test waited for the address answers to expire, 12 s. Change: the drain time of addresses is set to 100 ms in this test. Conclusion: same checks, less time.

--- a/io/lwtdaemon/authority_test.go
+++ b/io/lwtdaemon/authority_test.go
@@ -69,7 +69,7 @@
 	settings.EntryAddress = listeners.Entry.Addr().String()
 	settings.PeerKey = "0123456789abcdef"
 	settings.Platform.Address = platformListener.Addr().String()
-	settings.Addresses.Keep = lwtstate.Duration(100 * time.Millisecond)
+	settings.Addresses.Drain = lwtstate.Duration(100 * time.Millisecond)
 	daemon, err := lwtdaemon.New(settings, listeners, log.NewNopLogger())
 	if err != nil {
 		t.Fatal(err)
