Relay events on the goroutine that writes to the caller

Cause: each event went through a pipe and two goroutines between the engine's connection and the caller's, because the body was written by a stream writer. Change: the body of a streamed answer is a reader that returns what has arrived; an engine's sign of life is an event like others, so that it can be passed on. Lines longer than the read buffer no longer end a stream as unknown. The relay benchmarks use more engines and callers, as the fair shares of a daemon refuse one caller that wants most of it. Conclusion: to be measured on a quiet machine and reverted if it does not help.

--- a/io/lwtdaemon/relay_bench_test.go
+++ b/io/lwtdaemon/relay_bench_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -25,7 +26,11 @@
 const (
 	relayStreams = 1000
 	relayTokens  = 200
-	relayEngines = 4
+	relayEngines = 8
+	// relayCallers share the daemon's slots; one caller alone could not hold all streams.
+	relayCallers = 4
+	// relayBlocks is enough memory for all streams at once.
+	relayBlocks = 2048
 )
 
 // relayFleet is one daemon before some engines that stamp their events.
@@ -41,12 +46,17 @@
 	b.Cleanup(stop)
 	fleet := &relayFleet{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: relayStreams}}}
 	change := lwtstate.Change{
-		Number:  1,
-		Models:  []lwtstate.Model{{Name: "m", Version: "1"}},
-		Callers: []lwtstate.Caller{{Name: "c1", KeyHash: lwtentry.KeyHash(callerKey), Models: []string{"m"}}},
+		Number: 1,
+		Models: []lwtstate.Model{{Name: "m", Version: "1"}},
+	}
+	for i := range relayCallers {
+		key := callerKey + strconv.Itoa(i)
+		change.Callers = append(change.Callers,
+			lwtstate.Caller{Name: "c" + key, KeyHash: lwtentry.KeyHash(key), Models: []string{"m"}})
 	}
 	for i := range relayEngines {
 		options := lwtstandin.DefaultEngineOptions(fmt.Sprintf("e%d", i), "m")
+		options.MemoryBlocks = relayBlocks
 		options.Stamp, options.StepTime, options.MaxRunning, options.PrefillRate = true, step, relayStreams, 1e9
 		engine, listener := lwtstandin.NewEngine(options, 1), listen(b)
 		go func() { _ = engine.Serve(listener) }()
@@ -54,6 +64,7 @@
 		fleet.engines = append(fleet.engines, listener.Addr().String())
 		change.Engines = append(change.Engines, lwtstate.Engine{
 			Name: options.Name, Address: listener.Addr().String(), Role: lwtstate.RoleMixed, Models: []string{"m"},
+			MemoryBlocks: relayBlocks,
 		})
 	}
 	fleet.entry = startDaemon(ctx, b, change)
@@ -114,14 +125,15 @@
 		if relayed {
 			address = fleet.entry
 		}
-		group.Go(func() { fleet.read(b, address, strconv.Itoa(i)+strconv.FormatInt(began.UnixNano(), 36), delays) })
+		id, key := strconv.Itoa(i)+strconv.FormatInt(began.UnixNano(), 36), callerKey+strconv.Itoa(i%relayCallers)
+		group.Go(func() { fleet.read(b, address, key, id, delays) })
 	}
 	group.Wait()
 	delays.took, delays.cpu = time.Since(began), processTime(b)-usage
 	return delays
 }
 
-func (fleet *relayFleet) read(b *testing.B, address, id string, delays *delays) {
+func (fleet *relayFleet) read(b *testing.B, address, key, id string, delays *delays) {
 	body := fmt.Sprintf(`{"model":"m","messages":[{"role":"user","content":%q}],"max_tokens":%d,"stream":true}`, id, relayTokens)
 	request, err := http.NewRequestWithContext(b.Context(), http.MethodPost,
 		"http://"+address+"/v1/chat/completions", bytes.NewReader([]byte(body)))
@@ -129,7 +141,7 @@
 		b.Error(err)
 		return
 	}
-	request.Header.Set("Authorization", "Bearer "+callerKey)
+	request.Header.Set("Authorization", "Bearer "+key)
 	request.Header.Set("Engine-Request", id)
 	response, err := fleet.client.Do(request)
 	if err != nil {
@@ -137,6 +149,11 @@
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(response.Body)
+		b.Errorf("stream %s: status %d: %s", id, response.StatusCode, body)
+		return
+	}
 	scanner, events := bufio.NewScanner(response.Body), 0
 	for scanner.Scan() {
 		if written, found := stamp(scanner.Bytes()); found {
--- a/io/lwtengine/stream.go
+++ b/io/lwtengine/stream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strconv"
 	"sync"
@@ -17,6 +18,8 @@
 	Stream string
 	Offset uint64
 	Data   []byte
+	// Alive says that the event is only a sign of life of the engine.
+	Alive bool
 }
 
 // Stream reads the events of one answer.
@@ -26,12 +29,16 @@
 	id       []byte
 	data     []byte
 	stream   string
-	// keepAlive is called at each comment, which engines send as a sign of life.
-	keepAlive func()
+	// long holds a line that exceeds the reader's buffer.
+	long []byte
+	// alive is set by a comment, which engines send as a sign of life.
+	alive bool
 }
 
 const maxEventBytes = 256 << 10
 
+var errEventSize = fmt.Errorf("an event is over %d bytes", maxEventBytes)
+
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferSize) }}
 
 func newStream(response *fasthttp.Response) *Stream {
@@ -50,9 +57,6 @@
 // NoStream returns a stream that has ended.
 func NoStream() *Stream { return &Stream{} }
 
-// SetKeepAlive sets what Next calls at each sign of life of the engine.
-func (stream *Stream) SetKeepAlive(keepAlive func()) { stream.keepAlive = keepAlive }
-
 // Buffered reports whether more of the answer has arrived already.
 func (stream *Stream) Buffered() bool { return stream.reader.Buffered() > 0 }
 
@@ -73,34 +77,56 @@
 	if stream.reader == nil {
 		return Event{}, fmt.Errorf("%w: the stream is closed", ErrUnknown)
 	}
-	stream.id, stream.data = stream.id[:0], stream.data[:0]
+	stream.id, stream.data, stream.alive = stream.id[:0], stream.data[:0], false
 	for {
-		line, err := stream.reader.ReadSlice('\n')
+		line, err := stream.readLine()
 		if err != nil {
 			return Event{}, fmt.Errorf("%w: read event: %w", ErrUnknown, err)
 		}
-		line = bytes.TrimRight(line, "\r\n")
-		if len(line) == 0 && len(stream.data) > 0 {
+		switch {
+		case len(line) > 0:
+			stream.field(line)
+			if len(stream.data) > maxEventBytes {
+				return Event{}, fmt.Errorf("%w: %w", ErrUnknown, errEventSize)
+			}
+		case len(stream.data) > 0:
 			return stream.event()
+		case stream.alive:
+			return Event{Alive: true}, nil
+		}
+	}
+}
+
+// readLine returns the next line without its end. Only lines longer than the
+// reader's buffer are copied.
+func (stream *Stream) readLine() ([]byte, error) {
+	stream.long = stream.long[:0]
+	for {
+		part, err := stream.reader.ReadSlice('\n')
+		whole := err == nil
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			return nil, err
+		}
+		if whole && len(stream.long) == 0 {
+			return bytes.TrimRight(part, "\r\n"), nil
 		}
-		if err := stream.field(line); err != nil {
-			return Event{}, err
+		if stream.long = append(stream.long, part...); len(stream.long) > maxEventBytes {
+			return nil, errEventSize
+		}
+		if whole {
+			return bytes.TrimRight(stream.long, "\r\n"), nil
 		}
 	}
 }
 
-func (stream *Stream) field(line []byte) error {
+func (stream *Stream) field(line []byte) {
 	if id, found := bytes.CutPrefix(line, []byte("id: ")); found {
 		stream.id = append(stream.id[:0], id...)
 	} else if data, found := bytes.CutPrefix(line, []byte("data: ")); found {
 		stream.data = append(stream.data, data...)
-	} else if len(line) > 0 && line[0] == ':' && stream.keepAlive != nil {
-		stream.keepAlive()
-	}
-	if len(stream.data) > maxEventBytes {
-		return fmt.Errorf("%w: event over %d bytes", ErrUnknown, maxEventBytes)
+	} else if line[0] == ':' {
+		stream.alive = true
 	}
-	return nil
 }
 
 func (stream *Stream) event() (Event, error) {
--- a/io/lwtentry/relay.go
+++ b/io/lwtentry/relay.go
@@ -1,7 +1,6 @@
 package lwtentry
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
 	"sync/atomic"
@@ -25,10 +24,9 @@
 )
 
 var (
-	errGap       = errors.New("the engine left out events of the stream")
-	errGone      = errors.New("connection closed")
-	endMark      = []byte("[DONE]")
-	keepAliveSSE = []byte(": keep-alive\n\n")
+	errGap  = errors.New("the engine left out events of the stream")
+	errGone = errors.New("connection closed")
+	endMark = []byte("[DONE]")
 )
 
 // relay copies the events of one engine stream to one caller.
@@ -38,57 +36,27 @@
 	events   *lwtengine.Stream
 	sequence lwtstream.Sequence
 	signer   *lwtstream.Signer
-	id       []byte
 	resumes  int
 	// held are events that came before an earlier one, by offset.
 	held map[uint64][]byte
 	// dropped counts events of other streams and repeated ones.
 	dropped int
-	// keepAlive passes the engine's sign of life on.
-	keepAlive func()
 	// gone is set when the caller has disconnected.
 	gone atomic.Bool
 }
 
 func (server *Server) newRelay(call *completion, events *lwtengine.Stream, sequence lwtstream.Sequence) *relay {
 	relay := &relay{
-		server:    server,
-		call:      call,
-		sequence:  sequence,
-		signer:    lwtstream.NewSigner(server.dependencies.StreamKey, call.caller.Name),
-		held:      map[uint64][]byte{},
-		keepAlive: func() {},
+		server:   server,
+		call:     call,
+		events:   events,
+		sequence: sequence,
+		signer:   lwtstream.NewSigner(server.dependencies.StreamKey, call.caller.Name),
+		held:     map[uint64][]byte{},
 	}
-	relay.attach(events)
 	return relay
 }
 
-func (relay *relay) attach(events *lwtengine.Stream) {
-	relay.events = events
-	events.SetKeepAlive(func() { relay.keepAlive() })
-}
-
-// stream relays the events as server-sent events.
-func (relay *relay) stream(ctx *fasthttp.RequestCtx) {
-	ctx.SetContentType("text/event-stream")
-	ctx.Response.Header.Set("Cache-Control", "no-cache")
-	conn := ctx.Conn()
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		stop := WatchCaller(conn, relay.callerGone)
-		relay.keepAlive = func() {
-			// A write error shows at the next event, and to the watcher.
-			_, _ = w.Write(keepAliveSSE)
-			_ = w.Flush()
-		}
-		err := relay.each(func(event lwtengine.Event) error { return relay.write(w, event) })
-		stop()
-		if err != nil {
-			relay.writeFailure(w, err)
-		}
-		relay.end(err)
-	})
-}
-
 // callerGone ends the work of a caller that has disconnected, unless the work
 // may not be repeated: that runs on, and any daemon can still read it.
 func (relay *relay) callerGone() {
@@ -110,18 +78,15 @@
 // mark.
 func (relay *relay) each(deliver func(lwtengine.Event) error) error {
 	for {
-		event, err := relay.next()
-		if relay.gone.Load() {
-			return &callerGoneError{errGone}
-		}
+		event, err := relay.receive()
 		if err != nil {
-			if err = relay.recover(err); err != nil {
-				return err
-			}
+			return err
+		}
+		if event.Alive {
 			continue
 		}
 		if err := deliver(event); err != nil {
-			return &callerGoneError{err}
+			return err
 		}
 		if bytes.Equal(event.Data, endMark) {
 			return nil
@@ -129,6 +94,23 @@
 	}
 }
 
+// receive returns the next event to deliver, or the engine's sign of life. It
+// takes up a broken stream.
+func (relay *relay) receive() (lwtengine.Event, error) {
+	for {
+		event, err := relay.next()
+		if relay.gone.Load() {
+			return event, &callerGoneError{errGone}
+		}
+		if err == nil {
+			return event, nil
+		}
+		if err = relay.recover(err); err != nil {
+			return event, err
+		}
+	}
+}
+
 // next returns the next event of the sequence. It holds events that come too
 // early, and drops those of other streams and those delivered already.
 func (relay *relay) next() (lwtengine.Event, error) {
@@ -140,7 +122,7 @@
 			return lwtengine.Event{Stream: relay.call.id, Offset: offset, Data: data}, nil
 		}
 		event, err := relay.events.Next()
-		if err != nil {
+		if err != nil || event.Alive {
 			return event, err
 		}
 		next, verdict := relay.sequence.Accept(event.Stream, event.Offset)
@@ -165,7 +147,7 @@
 // deterministic.
 func (relay *relay) recover(cause error) error {
 	relay.events.Close()
-	relay.attach(lwtengine.NoStream())
+	relay.events = lwtengine.NoStream()
 	clear(relay.held)
 	if relay.resumes == maxResumes {
 		return cause
@@ -178,7 +160,7 @@
 	server.log(call.id, "stream-resumed", "engine", call.choice.Engine, "offset", relay.sequence.Next(), "err", cause)
 	events, err := server.dependencies.Engines.Resume(call.engineAddress(), call.id, relay.sequence.Next())
 	if err == nil {
-		relay.attach(events)
+		relay.events = events
 		return nil
 	}
 	if !call.repeatable() {
@@ -205,39 +187,10 @@
 		return errors.New(failure.Message)
 	}
 	server.log(call.id, "stream-restarted", "engine", call.choice.Engine, "skip", relay.sequence.Next(), "err", cause)
-	relay.attach(events)
+	relay.events = events
 	return nil
 }
 
-func (relay *relay) write(w *bufio.Writer, event lwtengine.Event) error {
-	relay.markFirst()
-	relay.id = relay.signer.AppendID(relay.id[:0], lwtstream.Position{
-		Engine: relay.call.choice.Engine, Stream: relay.call.id, Offset: relay.sequence.Next(),
-	})
-	// A write error shows at the flush.
-	_, _ = w.WriteString("id: ")
-	_, _ = w.Write(relay.id)
-	_, _ = w.WriteString("\ndata: ")
-	_, _ = w.Write(event.Data)
-	_, _ = w.WriteString("\n\n")
-	if relay.events.Buffered() {
-		return nil
-	}
-	return w.Flush()
-}
-
-func (relay *relay) writeFailure(w *bufio.Writer, err error) {
-	var gone *callerGoneError
-	if errors.As(err, &gone) {
-		return
-	}
-	// The caller sees a lost connection if this can't be written.
-	_, _ = w.WriteString("data: ")
-	_, _ = w.Write(engineError(OutcomeUnknown, err).Body())
-	_, _ = w.WriteString("\n\n")
-	_ = w.Flush()
-}
-
 // end closes the engine's stream, and cancels it when the caller has gone.
 func (relay *relay) end(err error) {
 	relay.events.Close()
