Converge after missed refutations and quickly after many joins

Cause: the property test found a daemon that stayed dead for one that had missed its refutation: an outdated claim was not answered, and pages of a table lacked its owner. Daemons that joined together asked each other, knew nobody, and spread the tables that they then received as news. Change: an outdated claim is answered with the own record; pages end with it; records of pages are not spread; a daemon that has just started asks for the whole table until it knows half of its peers. Digests change twice as often.

--- a/core/lwtfleet/agree.go
+++ b/core/lwtfleet/agree.go
@@ -22,6 +22,12 @@
 			running = append(running, index)
 		}
 	}
+	for _, viewer := range running {
+		// Unequal hashes show a difference at a small part of the cost.
+		if fleet.sum(viewer) != fleet.sum(running[0]) {
+			return fmt.Errorf("%s and %s hold different tables", Name(viewer), Name(running[0]))
+		}
+	}
 	for _, viewer := range running {
 		if err := fleet.agrees(viewer, running); err != nil {
 			return err
@@ -30,6 +36,8 @@
 	return nil
 }
 
+func (fleet *Fleet) sum(index int) uint64 { return fleet.daemons[Address(index)].Model.Sum() }
+
 func (fleet *Fleet) agrees(viewer int, running []int) error {
 	model := fleet.daemons[Address(viewer)].Model
 	if model.Live() != len(running) {
--- a/core/lwtmember/digest.go
+++ b/core/lwtmember/digest.go
@@ -20,7 +20,7 @@
 	// digestMembersPerSecond sets how often a digest may change: the interval
 	// grows with the number of members, so that all digests together fit into
 	// the bytes that each message may carry.
-	digestMembersPerSecond = 6
+	digestMembersPerSecond = 12
 	minDigestInterval      = time.Second
 	valueOverhead          = 10
 	digestOverhead         = 24
--- a/core/lwtmember/model.go
+++ b/core/lwtmember/model.go
@@ -37,7 +37,7 @@
 	sequence uint64
 	replaced bool
 
-	nextProbe, nextGossip, nextReconnect, nextSync, nextDigest, nextForget time.Time
+	nextProbe, nextGossip, nextReconnect, nextSync, nextDigest, nextForget, nextTable time.Time
 	// syncCursor is where the next page of other members' tables starts.
 	syncCursor string
 }
--- a/core/lwtmember/options.go
+++ b/core/lwtmember/options.go
@@ -48,6 +48,6 @@
 		Indirect:          2,
 		GossipFanout:      2,
 		MaxMembers:        12,
-		MaxDigestBytes:    512,
+		MaxDigestBytes:    2048,
 	}
 }
--- a/core/lwtmember/probe.go
+++ b/core/lwtmember/probe.go
@@ -166,13 +166,17 @@
 
 // reconnect probes one address that is not a live member: a dead one, which a
 // partition may have hidden, or one of the VM list or the settings. A daemon
-// that knows nobody tries at each probe interval.
+// that knows nobody, or has just started and knows less than half of its peers,
+// tries at each probe interval and asks for the whole table: the first one asked
+// may have just started too.
 func (step *step) reconnect() {
 	if step.now.Before(step.nextReconnect) {
 		return
 	}
 	interval := step.options.ReconnectInterval
-	if step.table.live == 0 {
+	join := step.table.live == 0 ||
+		step.now.Sub(step.started) < joinTime && 2*step.table.live < len(step.peers)
+	if join {
 		interval = step.options.ProbeInterval
 	}
 	step.nextReconnect = step.jittered(interval)
@@ -181,7 +185,7 @@
 		return
 	}
 	address := candidates[step.intN(len(candidates))]
-	step.send(address, KindPing, Gossip{Join: step.table.live == 0})
+	step.send(address, KindPing, Gossip{Join: join})
 }
 
 func (step *step) absent() []string {
--- a/core/lwtmember/receive.go
+++ b/core/lwtmember/receive.go
@@ -20,7 +20,7 @@
 		step.emit(NumberKnown{Number: gossip.Number, From: msg.From})
 	}
 	for _, member := range gossip.Members {
-		step.learn(member)
+		step.learn(member, !gossip.Page)
 	}
 	for _, digest := range gossip.Digests {
 		step.learnDigest(digest)
@@ -38,7 +38,9 @@
 	case KindPing:
 		_, known := step.table.get(msg.From)
 		step.send(msg.From, KindAck, Gossip{Sequence: msg.Gossip.Sequence, Unknown: !known})
-		if msg.Gossip.Join {
+		if msg.Gossip.Join && !step.now.Before(step.nextTable) {
+			// One table per interval; others who join ask another member.
+			step.nextTable = step.now.Add(step.options.ProbeInterval)
 			step.sendWholeTable(msg.From)
 		}
 	case KindPingReq:
@@ -48,7 +50,7 @@
 	case KindDigest, KindLeave:
 	}
 	if msg.Gossip.Want {
-		members, next := step.table.page(msg.Gossip.WantAfter, step.options.MaxMembers)
+		members, next := step.page(msg.Gossip.WantAfter, step.options.MaxMembers)
 		step.emit(Send{To: msg.From, Kind: KindDigest, Gossip: Gossip{Members: members, Page: true, Next: next}})
 	}
 	if msg.Gossip.Page {
@@ -86,8 +88,10 @@
 	}
 }
 
-// learn takes a record that another member passed on.
-func (step *step) learn(member Member) {
+// learn takes a record that another member passed on. Records of a page are old
+// to most and are not spread: a daemon that joins would else send the whole
+// table many times over.
+func (step *step) learn(member Member, spread bool) {
 	if member.Address == step.self.Address {
 		step.learnSelf(member)
 		return
@@ -100,8 +104,14 @@
 		// A dead member that was never known is only kept off the table.
 		return
 	}
+	changed := step.changed
 	step.store(member)
-	step.queue = step.queue.with(member)
+	if spread {
+		step.queue = step.queue.with(member)
+		return
+	}
+	// Pages go on without the wait for news under way.
+	step.changed = changed
 }
 
 // learnSelf takes a record of the daemon's own address.
@@ -117,6 +127,9 @@
 	case member.Boot == step.self.Boot && member.Supersedes(step.self):
 		step.refute(member)
 		step.announce()
+	case step.self.Supersedes(member):
+		// The sender missed the news about this daemon.
+		step.queue = step.queue.with(step.self)
 	}
 }
 
@@ -152,11 +165,21 @@
 func (step *step) sendWholeTable(to string) {
 	for cursor, more := "", true; more; more = cursor != "" {
 		var members []Member
-		members, cursor = step.table.page(cursor, joinPageMembers)
-		step.emit(Send{To: to, Kind: KindDigest, Gossip: Gossip{Members: members, Number: step.number}})
+		members, cursor = step.page(cursor, joinPageMembers)
+		step.emit(Send{To: to, Kind: KindDigest, Gossip: Gossip{Members: members, Number: step.number, Page: true}})
 	}
 }
 
+// page returns a page of the table. The last one holds the daemon's own record
+// too, which its table lacks.
+func (step *step) page(after string, most int) (members []Member, next string) {
+	members, next = step.table.page(after, most)
+	if next == "" {
+		members = append(members, step.self)
+	}
+	return members, next
+}
+
 // synchronise asks for a page of a table that differs from the daemon's own
 // though nothing has changed for a while.
 func (step *step) synchronise(msg Received) {
