--- a/io/lwtcommand/command.go
+++ b/io/lwtcommand/command.go
@@ -25,16 +25,36 @@
 // Main runs the command line and returns its exit code.
 func Main(args []string, out, errors io.Writer) int {
 	streams := streams{out: out, err: errors}
+	parser, err := newParser(streams)
+	if err != nil {
+		return streams.fail(err)
+	}
+	_, err = parser.ParseArgs(args)
+	return streams.exit(err)
+}
+
+func newParser(streams streams) (*flags.Parser, error) {
 	parser := flags.NewNamedParser("lacewingtide", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = "Lacewingtide serves model requests for a fixed fleet of engines.\n\n" +
 		"Exit codes: 0 done, 1 refused or failed, 2 wrong usage."
+	parser.CommandHandler = execute
 	for _, command := range commands(streams) {
 		if _, err := parser.AddCommand(command.name, command.short, command.long, command.data); err != nil {
-			return streams.fail(err)
+			return nil, err
 		}
 	}
-	_, err := parser.ParseArgs(args)
-	return streams.exit(err)
+	return parser, nil
+}
+
+// execute runs a command. Words that no argument takes are wrong usage.
+func execute(command flags.Commander, rest []string) error {
+	if command == nil {
+		return nil
+	}
+	if len(rest) > 0 {
+		return usage("unexpected argument " + rest[0])
+	}
+	return command.Execute(rest)
 }
 
 type command struct {
@@ -45,7 +65,14 @@
 func commands(streams streams) []command {
 	return []command{
 		{"serve", "run an entry daemon", "Runs one entry daemon until SIGINT or SIGTERM.", &serveCommand{streams: streams}},
-		{"check", "check a settings file", "Checks a settings file and prints all problems.", &checkCommand{streams: streams}},
+		{"check", "check a settings file or a ticket", checkHelp, &checkCommand{streams: streams}},
+		{"ticket", "submit, show or list tickets", "Changes the declared state and shows how it was changed.", newTicketCommand(streams)},
+		{"status", "show the status of a daemon", statusHelp, &statusCommand{streams: streams}},
+		{"report", "show service-level burn", reportHelp, &reportCommand{streams: streams}},
+		{"measure", "measure in virtual time", "Measures policies on models of engines in virtual time.", &measureCommand{
+			MixShift: measureMixShift{streams: streams}, streams: streams,
+		}},
+		{"demo", "run a whole deployment on loopback", demoHelp, &demoCommand{streams: streams}},
 		{"stand-in", "run a stand-in", "Runs a stand-in for a system outside lacewingtide.", &standInCommand{streams: streams}},
 	}
 }
--- a/io/lwtdaemon/backend_test.go
+++ b/io/lwtdaemon/backend_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"os"
 	"testing"
@@ -11,7 +10,6 @@
 	"lacewingtide/core/lwtstate"
 	"lacewingtide/io/lwtcommand"
 	"lacewingtide/io/lwtentry"
-	"lacewingtide/io/lwtplatform"
 	"lacewingtide/io/lwtstandin"
 )
 
@@ -54,8 +52,7 @@
 
 func declare(t testing.TB, platform *lwtstandin.Platform, engine, shop net.Listener) {
 	t.Helper()
-	value, err := json.Marshal(lwtstate.New().WithChange(lwtstate.Change{
-		Number: 1,
+	if err := platform.Declare(lwtstate.Change{
 		Engines: []lwtstate.Engine{{
 			Name: "e1", Address: engine.Addr().String(), Role: lwtstate.RoleMixed, Models: []string{"m"},
 		}},
@@ -69,9 +66,7 @@
 			Idempotent:     []lwtstate.Call{{Method: "GET", PathPrefix: "/stock"}},
 			Timeout:        lwtstate.Duration(10 * time.Second),
 		}},
-	}))
-	if err != nil {
+	}); err != nil {
 		t.Fatal(err)
 	}
-	platform.Table().Commit(lwtplatform.Transaction{Puts: []lwtplatform.Put{{Key: "config/head", Value: value}}})
 }
--- a/io/lwtdaemon/limit.go
+++ b/io/lwtdaemon/limit.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +18,9 @@
 	// accountUnused is the time after which the account of a silent caller is
 	// forgotten; its tokens are full again long before.
 	accountUnused = time.Minute
+	// partKeep is the time for which a daemon's part of a caller's limits is
+	// kept before the home daemons are looked up again.
+	partKeep = time.Second
 )
 
 // limiter owns the limits of the daemon.
@@ -28,42 +30,39 @@
 	mutex    sync.Mutex
 	limits   lwtlimit.Limits
 	accounts map[string]lwtlimit.Account
-	parts    map[string]lwtlimit.Part
-	daemons  []string
+	parts    map[string]knownPart
+	homes    func(caller string) []string
+	live     func() int
 	swept    time.Time
 }
 
-func newLimiter(declared *declared, daemon string) *limiter {
+// knownPart is a part as it was at a time.
+type knownPart struct {
+	part lwtlimit.Part
+	at   time.Time
+}
+
+// newLimiter returns the limiter of a daemon. Homes returns the names of a
+// caller's home daemons, and live the number of live daemons.
+func newLimiter(declared *declared, daemon string, homes func(caller string) []string, live func() int) *limiter {
 	return &limiter{
 		declared: declared,
 		daemon:   daemon,
 		limits:   lwtlimit.New(leastSlots),
 		accounts: map[string]lwtlimit.Account{},
-		parts:    map[string]lwtlimit.Part{},
-		daemons:  []string{daemon},
+		parts:    map[string]knownPart{},
+		homes:    homes,
+		live:     live,
 	}
 }
 
-// SetDaemons takes the names of all daemons that the VM list still has or that
-// membership sees.
-func (limiter *limiter) SetDaemons(daemons []string) {
-	daemons = slices.Compact(slices.Sorted(slices.Values(daemons)))
-	limiter.mutex.Lock()
-	defer limiter.mutex.Unlock()
-	if slices.Equal(daemons, limiter.daemons) {
-		return
-	}
-	limiter.daemons = daemons
-	clear(limiter.parts)
-}
-
 // Take implements lwtentry.Limiter.
 func (limiter *limiter) Take(now time.Time, caller lwtstate.Caller) (func(), error) {
 	state, _ := limiter.declared.State()
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
 	limiter.sweep(now)
-	slots := max(leastSlots, streamsPerEngine*len(state.Engines)/len(limiter.daemons))
+	slots := max(leastSlots, streamsPerEngine*len(state.Engines)/max(1, limiter.live()))
 	limits, account, verdict := limiter.limits.WithSlots(slots).Take(now, caller, limiter.account(now, caller.Name))
 	limiter.limits, limiter.accounts[caller.Name] = limits, account
 	if !verdict.Admitted {
@@ -73,16 +72,16 @@
 }
 
 func (limiter *limiter) account(now time.Time, caller string) lwtlimit.Account {
-	part, found := limiter.parts[caller]
-	if !found {
-		part = lwtlimit.PartOf(limiter.daemon, caller, limiter.daemons)
-		limiter.parts[caller] = part
+	known, found := limiter.parts[caller]
+	if !found || now.Sub(known.at) > partKeep {
+		known = knownPart{lwtlimit.PartOf(limiter.daemon, limiter.homes(caller)), now}
+		limiter.parts[caller] = known
 	}
 	account, found := limiter.accounts[caller]
 	if !found {
-		return lwtlimit.NewAccount(now, part)
+		return lwtlimit.NewAccount(now, known.part)
 	}
-	return account.WithPart(now, part)
+	return account.WithPart(now, known.part)
 }
 
 func (limiter *limiter) release(caller string) {
--- a/io/lwtstandin/engine.go
+++ b/io/lwtstandin/engine.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"lacewingtide/core/lwtrouter"
 	"lacewingtide/core/lwtstate"
 )
 
@@ -34,9 +35,15 @@
 	OrderReadTimeout time.Duration
 	// ChangeTime is the time that a change of role or models takes.
 	ChangeTime time.Duration
+	// RecordPrompts makes the engine keep which prompts it ran.
+	RecordPrompts bool
 	// Stamp adds the time of writing to each event, for measurements: the
 	// field "written" in nanoseconds since the Unix epoch.
 	Stamp bool
+	// Weights is where models are loaded from; nil for no limit.
+	Weights *WeightStore
+	// ModelBlocks is the size of a model's weights for the weight store.
+	ModelBlocks int
 }
 
 // DefaultEngineOptions returns the options of a mid-size engine.
@@ -54,6 +61,7 @@
 		ChecksFencing:    true,
 		OrderReadTimeout: time.Second,
 		ChangeTime:       time.Second,
+		ModelBlocks:      64,
 	}
 }
 
@@ -70,6 +78,11 @@
 	state       engineState
 	wake        chan struct{}
 	started     int64
+	prompts     map[string]bool
+	orders      engineOrders
+	cache       engineCache
+	// gate is held while the engine is paused.
+	gate sync.RWMutex
 }
 
 // NewEngine returns an engine. Its incarnation must differ from that of every
@@ -79,8 +92,10 @@
 		options:     options,
 		incarnation: incarnation,
 		streams:     map[string]*engineStream{},
+		prompts:     map[string]bool{},
+		cache:       newEngineCache(),
 		wake:        make(chan struct{}, 1),
-		state:       engineState{Role: options.Role, Models: options.Models, Incarnation: incarnation},
+		state:       initialState(options, incarnation),
 	}
 }
 
@@ -107,6 +122,21 @@
 	return engine.started
 }
 
+// RanPrompt reports whether a request with the prompt has begun to run. It
+// needs RecordPrompts.
+func (engine *Engine) RanPrompt(prompt string) bool {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return engine.prompts[prompt]
+}
+
+// Role returns the role in which the engine runs.
+func (engine *Engine) Role() lwtstate.Role {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return engine.state.Role
+}
+
 func (engine *Engine) step(now time.Time) time.Duration {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
@@ -165,7 +195,7 @@
 	if stream, found := engine.streams[id]; found {
 		return stream, nil
 	}
-	if engine.state.Changing || !slices.Contains(engine.state.Models, request.Model) {
+	if !engine.serves(time.Now(), request.Model) {
 		return nil, fmt.Errorf("engine %s does not serve model %q now", engine.options.Name, request.Model)
 	}
 	stream := newEngineStream(id, request, priority)
@@ -173,6 +203,9 @@
 	engine.streams[id] = stream
 	engine.waiting = append(engine.waiting, stream)
 	engine.started++
+	if engine.options.RecordPrompts {
+		engine.prompts[stream.prompt] = true
+	}
 	return stream, nil
 }
 
@@ -205,15 +238,27 @@
 	WaitingTokens int `json:"waiting-tokens"`
 	// FreeBlocks is the free memory in blocks of 2,048 tokens.
 	FreeBlocks int `json:"free-blocks"`
+	// Role is the role in which the engine runs.
+	Role lwtstate.Role `json:"role"`
+	// Changing says that an order is being carried out.
+	Changing bool `json:"changing"`
+	// WaitingByPriority splits WaitingTokens by priority, lowest first.
+	WaitingByPriority [lwtrouter.Priorities]int `json:"waiting-by-priority"`
+	// PrefillRate is in prompt tokens per second.
+	PrefillRate float64 `json:"prefill-rate"`
 }
 
 func (engine *Engine) load() Load {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
-	load := Load{Incarnation: engine.incarnation, Running: len(engine.running), Waiting: len(engine.waiting)}
+	load := Load{
+		Incarnation: engine.incarnation, Running: len(engine.running), Waiting: len(engine.waiting),
+		Role: engine.state.Role, Changing: engine.state.Changing, PrefillRate: engine.options.PrefillRate,
+	}
 	tokens := 0
 	for _, stream := range engine.waiting {
 		load.WaitingTokens += stream.promptLeft
+		load.WaitingByPriority[min(max(0, stream.priority), lwtrouter.Priorities-1)] += stream.promptLeft
 		tokens += stream.promptTokens
 	}
 	for _, stream := range engine.running {
