Say in the status that numbers of peers are being collected

Cause: in the 3 s before a daemon acts without the store, its status said that no peer had given a state, though one had (seen in a trial with processes).

--- a/io/lwtdaemon/declared.go
+++ b/io/lwtdaemon/declared.go
@@ -128,6 +128,8 @@
 		status.Age = age.Round(time.Millisecond).String()
 	}
 	switch {
+	case !inForce && !model.StoreSeen() && held > 0:
+		status.Problem = "no configuration is in force yet: the store does not answer; collecting the numbers of the peers"
 	case !inForce && !model.StoreSeen():
 		status.Problem = "no configuration is in force: neither the store nor a peer has given the newest one"
 	case !inForce:
