--- a/core/lwtmix/step.go
+++ b/core/lwtmix/step.go
@@ -31,7 +31,7 @@
 	engine.steps++
 	run.tally.step(engine.stepTime, len(engine.running))
 	for _, j := range engine.fresh {
-		j.firstAt = now
+		run.firstToken(now, j)
 	}
 	engine.fresh = engine.fresh[:0]
 	for _, j := range engine.filled {
@@ -47,9 +47,7 @@
 func (run *run) prefilled(now int64, engine *engine, j *job) {
 	engine.cache.store(j.arrival.Prefixes)
 	if j.decodeAt == engine {
-		if j.firstAt == 0 {
-			j.firstAt = now
-		}
+		run.firstToken(now, j)
 		engine.ready = append(engine.ready, j)
 		return
 	}
@@ -57,22 +55,36 @@
 	daemon.outstanding[engine]--
 	target, incarnation := j.decodeAt, j.decodeAt.incarnation
 	run.time.add(now+int64(engine.rates.Transfer(j.arrival.Prompt)), func(now int64) {
+		target.inbound--
 		if target.incarnation != incarnation {
 			run.restart(now, j)
 			return
 		}
-		target.inbound--
 		target.ready = append(target.ready, j)
 		run.wake(now, target)
 	})
 }
 
+func (run *run) firstToken(now int64, j *job) {
+	if j.firstAt != 0 {
+		return
+	}
+	j.firstAt = now
+	if run.policy.Simple == "" {
+		daemon := run.daemons[j.daemon]
+		daemon.router.View().WithFirstToken(j.request, j.choice, time.Duration(now-j.sentAt))
+		daemon.admission.WithResult(j.arrival.Class, now-j.arrival.At <= int64(j.arrival.first))
+	}
+}
+
 func (run *run) done(now int64, j *job) {
 	j.doneAt = now
 	daemon := run.daemons[j.daemon]
 	daemon.outstanding[j.decodeAt]--
 	daemon.lengths.WithAnswer(j.arrival.Class, j.arrival.Output)
-	daemon.admission.WithResult(j.arrival.Class, j.onTime())
+	if now-j.arrival.At > int64(j.arrival.whole) {
+		daemon.admission.WithResult(j.arrival.Class, false)
+	}
 }
 
 // restart places a request again whose engine was lost. A request that must
@@ -121,58 +133,3 @@
 		}
 	})
 }
-
-func (run *run) startFailures() {
-	share := func(percent int64) int64 { return run.end * percent / 100 }
-	drained, crashed, lost := run.engines[2], run.engines[7], 1
-	run.time.add(share(30), func(int64) { run.declareDraining(drained, true) })
-	run.time.add(share(50), func(int64) { run.declareDraining(drained, false) })
-	run.time.add(share(58), func(now int64) { run.crash(now, crashed) })
-	run.time.add(share(70), func(int64) { run.loseDaemon(lost) })
-	run.time.add(share(80), func(int64) { run.daemons[lost].down = false })
-}
-
-func (run *run) declareDraining(engine *engine, draining bool) {
-	engine.declared.Draining = draining
-	change := lwtstate.Change{Number: run.state.Number + 1, Engines: []lwtstate.Engine{engine.declared}}
-	run.state = run.state.WithChange(change)
-	for _, daemon := range run.daemons {
-		daemon.router.View().WithState(run.state)
-	}
-}
-
-// restartTime is the time after which a crashed engine is back.
-const restartTime = 30 * time.Second
-
-func (run *run) crash(now int64, engine *engine) {
-	lost := engine.crash()
-	engine.next, engine.inbound = 0, 0
-	for _, j := range lost {
-		run.restart(now, j)
-	}
-	run.time.add(now+int64(restartTime), func(now int64) {
-		engine.down = false
-		run.wake(now, engine)
-	})
-}
-
-// loseDaemon ends an entry VM. Callers resume started streams through another
-// daemon; requests without a first token have no event to resume from and are
-// cut.
-func (run *run) loseDaemon(index int) {
-	if run.policy.Clairvoyant {
-		return
-	}
-	for i := range run.jobs {
-		j := &run.jobs[i]
-		if j.daemon != index || j.starts == 0 || j.doneAt != 0 {
-			continue
-		}
-		if j.firstAt == 0 {
-			j.cut = true
-		}
-	}
-	fresh := newDaemon(index, run.state, run.policy, run.random)
-	fresh.down = true
-	run.daemons[index] = fresh
-}
--- a/core/lwtrouter/engine.go
+++ b/core/lwtrouter/engine.go
@@ -17,16 +17,29 @@
 	// downUntil is in Unix nanoseconds.
 	downUntil int64
 	unwanted  bool
-	sent      sentLog
-	cache     cacheView
+	// used says that the daemon sends work of some model to the engine.
+	used bool
+	sent sentLog
+	// senders multiplies the work sent since the last report to allow for
+	// what other daemons sent.
+	senders float64
+	cache   cacheView
 	// prefillRate is in tokens per second.
 	prefillRate float64
 }
 
-func newEngineView(engine lwtstate.Engine, prefillRate float64) engineView {
+// undeclaredBlocks is the free memory of an engine that declares none and has
+// not reported yet.
+const undeclaredBlocks = 1 << 20
+
+func newEngineView(engine lwtstate.Engine, prefillRate, senders float64) engineView {
+	free := engine.MemoryBlocks
+	if free == 0 {
+		free = undeclaredBlocks
+	}
 	return engineView{
 		name: engine.Name, zone: engine.AvailabilityZone, role: engine.Role, declared: engine,
-		report: Report{FreeBlocks: engine.MemoryBlocks}, cache: newCacheView(), prefillRate: prefillRate,
+		report: Report{FreeBlocks: free}, cache: newCacheView(), senders: senders, prefillRate: prefillRate,
 	}
 }
 
@@ -50,8 +63,9 @@
 }
 
 // available reports whether the engine takes new work.
-func (engine *engineView) available(now int64) bool {
-	return !engine.unwanted && !engine.declared.Draining && !engine.report.Changing && engine.downUntil <= now
+func (engine *engineView) available(now int64, tryDown bool) bool {
+	return !engine.unwanted && !engine.declared.Draining && !engine.report.Changing &&
+		(tryDown || engine.downUntil <= now)
 }
 
 func (engine *engineView) mixed() bool { return engine.role == lwtstate.RoleMixed }
@@ -67,7 +81,7 @@
 // streams returns the streams that the engine is expected to decode once all
 // known work has been prefilled.
 func (engine *engineView) streams() float64 {
-	return float64(engine.report.Running+engine.report.Waiting) + engine.sent.streams
+	return float64(engine.report.Running+engine.report.Waiting) + engine.sent.streams*engine.senders
 }
 
 // waitingTokens returns the prompt tokens at or above a priority that are
@@ -75,7 +89,17 @@
 func (engine *engineView) waitingTokens(priority int, elapsed, speed float64) float64 {
 	tokens := -elapsed * speed
 	for level := priority; level < Priorities; level++ {
-		tokens += float64(engine.report.WaitingTokens[level]) + engine.sent.tokens[level]
+		tokens += float64(engine.report.WaitingTokens[level]) + engine.sent.tokens[level]*engine.senders
 	}
 	return max(0, tokens)
 }
+
+// prefilling reports whether prompts wait at the engine as far as is known.
+func (engine *engineView) prefilling() bool {
+	for level := range Priorities {
+		if engine.report.WaitingTokens[level] > 0 || engine.sent.tokens[level] > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/core/lwtrouter/view.go
+++ b/core/lwtrouter/view.go
@@ -19,6 +19,8 @@
 	byModel map[string][]int32
 	// objective bounds the time between tokens, in seconds.
 	between float64
+	queues  queueFactors
+	senders float64
 }
 
 // DefaultBetweenTokens is the objective for the time between two tokens.
@@ -28,7 +30,7 @@
 func NewView(name string, rates Rates) *View {
 	return &View{
 		name: name, rates: rates.speeds(), between: DefaultBetweenTokens.Seconds(),
-		index: map[string]int32{}, byModel: map[string][]int32{},
+		senders: 1, index: map[string]int32{}, byModel: map[string][]int32{},
 	}
 }
 
@@ -48,6 +50,9 @@
 	view.byModel = map[string][]int32{}
 	for model := range state.Models {
 		view.byModel[model] = view.subset(state.EnginesOf(model))
+		for _, i := range view.byModel[model] {
+			view.engines[i].used = true
+		}
 	}
 	return view
 }
@@ -55,13 +60,13 @@
 func (view *View) withDeclared(engine lwtstate.Engine) engineView {
 	i, found := view.index[engine.Name]
 	if !found {
-		return newEngineView(engine, view.rates.prefillRate)
+		return newEngineView(engine, view.rates.prefillRate, view.senders)
 	}
 	known := view.engines[i]
 	if known.declared.Role != engine.Role {
 		known.role = engine.Role
 	}
-	known.declared = engine
+	known.declared, known.used = engine, false
 	return known
 }
 
@@ -107,6 +112,29 @@
 	return view
 }
 
+// othersShare is the part of the other daemons' work that is counted, as a
+// share of this daemon's own for each of them. The measured optimum is below 1:
+// part of what they sent is in the report already or done.
+const othersShare = 1.0 / 3
+
+// WithSenders sets the number of daemons that send to the same engines. What
+// the others sent since the last report is estimated from this daemon's own.
+func (view *View) WithSenders(daemons int) *View {
+	view.senders = 1 + othersShare*float64(max(0, daemons-1))
+	for i := range view.engines {
+		view.engines[i].senders = view.senders
+	}
+	return view
+}
+
+// CacheCursor returns the sequence number of the last cache event taken.
+func (view *View) CacheCursor(engine string) int64 {
+	if i, found := view.index[engine]; found {
+		return view.engines[i].cache.next - 1
+	}
+	return 0
+}
+
 // WithDown keeps new work from an engine until the given time, as after a
 // refused connection.
 func (view *View) WithDown(engine string, until time.Time) *View {
@@ -154,10 +182,11 @@
 	Name     string
 	Declared lwtstate.Engine
 	// Role is the role last reported, or the declared one before a report.
-	Role     lwtstate.Role
-	Changing bool
-	// Available says that the engine takes new work.
-	Available  bool
+	Role lwtstate.Role
+	// Used says that the daemon sends work of some model to the engine.
+	Used bool
+	// InService is false for an engine that is draining or was found down.
+	InService  bool
 	Running    int
 	ReportedAt time.Time
 }
@@ -168,9 +197,9 @@
 	for i := range view.engines {
 		engine := &view.engines[i]
 		statuses = append(statuses, Status{
-			Name: engine.name, Declared: engine.declared, Role: engine.role,
-			Changing: engine.report.Changing || engine.unwanted, Available: engine.available(now.UnixNano()),
-			Running: engine.report.Running + engine.report.Waiting, ReportedAt: engine.report.TakenAt,
+			Name: engine.name, Declared: engine.declared, Role: engine.role, Used: engine.used,
+			InService: !engine.declared.Draining && engine.downUntil <= now.UnixNano(),
+			Running:   engine.report.Running + engine.report.Waiting, ReportedAt: engine.report.TakenAt,
 		})
 	}
 	return statuses
--- a/io/lwtentry/server.go
+++ b/io/lwtentry/server.go
@@ -31,6 +31,10 @@
 	Pick(now time.Time, request lwtrouter.Request) (lwtrouter.Choice, error)
 	// Report takes a load report of an engine.
 	Report(now time.Time, engine string, load lwtengine.Load)
+	// FirstToken tells that the first token of a placed request has come.
+	FirstToken(now time.Time, request lwtrouter.Request, choice lwtrouter.Choice)
+	// Answered tells that a placed request has its whole answer.
+	Answered(now time.Time, request lwtrouter.Request, choice lwtrouter.Choice, tokens int)
 	// Done tells that a placed request has left its engine; failed says that
 	// the engine gave no whole answer.
 	Done(now time.Time, request lwtrouter.Request, choice lwtrouter.Choice, failed bool)
@@ -88,6 +92,8 @@
 	// Name identifies the daemon in request ids.
 	Name             string
 	AvailabilityZone string
+	// ReadTimeout bounds the time to read one request; zero means 15 s.
+	ReadTimeout time.Duration
 }
 
 // Bounds of callers' requests.
@@ -113,12 +119,15 @@
 // New returns a server.
 func New(dependencies Dependencies) *Server {
 	server := &Server{dependencies: dependencies, ids: newIDSource(dependencies.Name), retries: newRetries()}
+	if dependencies.ReadTimeout == 0 {
+		dependencies.ReadTimeout = readTimeout
+	}
 	server.http = &fasthttp.Server{
 		Handler:               server.answer,
 		ErrorHandler:          handleProtocolError,
 		MaxRequestBodySize:    maxBodyBytes,
 		ReadBufferSize:        maxHeaderBytes,
-		ReadTimeout:           readTimeout,
+		ReadTimeout:           dependencies.ReadTimeout,
 		IdleTimeout:           idleTimeout,
 		Concurrency:           maxConnections,
 		NoDefaultServerHeader: true,
