Check errors in the if that makes the call

Cause: the house style was not kept in the declared state's parts. Change: 43 calls declare their variables first. No change of behaviour.

--- a/core/lwtdocument/document.go
+++ b/core/lwtdocument/document.go
@@ -113,8 +113,9 @@
 	document.readable = true
 	checker := checker{document: document}
 	valid, _ := checker.table("", values, reflect.TypeOf(target).Elem())
-	encoded, err := toml.Marshal(valid)
-	if err != nil {
+	var encoded []byte
+	var err error
+	if encoded, err = toml.Marshal(valid); err != nil {
 		return document, append(checker.problems, describe(err))
 	}
 	if err := toml.Unmarshal(encoded, target); err != nil {
--- a/core/lwtticket/row.go
+++ b/core/lwtticket/row.go
@@ -69,8 +69,9 @@
 
 // Encode returns a state as an object under the hash of its content.
 func Encode(state lwtstate.State) (Object, error) {
-	content, err := json.Marshal(state)
-	if err != nil {
+	var content []byte
+	var err error
+	if content, err = json.Marshal(state); err != nil {
 		return Object{}, fmt.Errorf("encode state %d: %w", state.Number, err)
 	}
 	return Object{Hash: hashOf(content), Content: content}, nil
--- a/core/lwtticket/submission.go
+++ b/core/lwtticket/submission.go
@@ -221,8 +221,9 @@
 		submission.attempted = &commit
 		return submission, []Cmd{commit}
 	}
-	object, err := Encode(next)
-	if err != nil {
+	var object Object
+	var err error
+	if object, err = Encode(next); err != nil {
 		return submission.done(Result{Outcome: Refused, Reason: err.Error()})
 	}
 	submission.committing.Head.Snapshot = Snapshot{Number: next.Number, Hash: object.Hash}
--- a/io/lwtcommand/check.go
+++ b/io/lwtcommand/check.go
@@ -31,8 +31,9 @@
 	case command.State != "" && command.Ticket == "":
 		return usage("--state needs --ticket FILE")
 	case command.Settings != "":
-		content, err := os.ReadFile(command.Settings)
-		if err != nil {
+		var content []byte
+		var err error
+		if content, err = os.ReadFile(command.Settings); err != nil {
 			return err
 		}
 		_, problems := lwtsetting.Check(content)
@@ -42,12 +43,13 @@
 }
 
 func (command *checkCommand) checkTicket() error {
-	content, err := os.ReadFile(command.Ticket)
-	if err != nil {
+	var content []byte
+	var err error
+	if content, err = os.ReadFile(command.Ticket); err != nil {
 		return err
 	}
-	state, err := command.state()
-	if err != nil {
+	var state lwtstate.State
+	if state, err = command.state(); err != nil {
 		return err
 	}
 	ticket, _ := lwtticket.Parse(content)
@@ -63,8 +65,9 @@
 	if command.State == "" {
 		return state, nil
 	}
-	content, err := os.ReadFile(command.State)
-	if err != nil {
+	var content []byte
+	var err error
+	if content, err = os.ReadFile(command.State); err != nil {
 		return state, err
 	}
 	if err := json.Unmarshal(content, &state); err != nil {
--- a/io/lwtcommand/command.go
+++ b/io/lwtcommand/command.go
@@ -25,8 +25,9 @@
 // Main runs the command line and returns its exit code.
 func Main(args []string, out, errors io.Writer) int {
 	streams := streams{out: out, err: errors}
-	parser, err := newParser(streams)
-	if err != nil {
+	var parser *flags.Parser
+	var err error
+	if parser, err = newParser(streams); err != nil {
 		return streams.fail(err)
 	}
 	_, err = parser.ParseArgs(args)
--- a/io/lwtcommand/daemon.go
+++ b/io/lwtcommand/daemon.go
@@ -22,8 +22,9 @@
 func (options operatorOptions) client() (*lwtoperator.Client, error) {
 	key := os.Getenv("LACEWINGTIDE_OPERATOR_KEY")
 	if options.KeyFile != "" {
-		content, err := os.ReadFile(options.KeyFile)
-		if err != nil {
+		var content []byte
+		var err error
+		if content, err = os.ReadFile(options.KeyFile); err != nil {
 			return nil, fmt.Errorf("read the operator's key: %w", err)
 		}
 		key = string(content)
--- a/io/lwtcommand/status.go
+++ b/io/lwtcommand/status.go
@@ -6,6 +6,9 @@
 	"maps"
 	"slices"
 	"strings"
+
+	"lacewingtide/core/lwtstate"
+	"lacewingtide/io/lwtoperator"
 )
 
 const statusHelp = "Shows what a daemon reports of itself: the number of the configuration in force, how long ago the store " +
@@ -21,19 +24,20 @@
 
 // Execute implements flags.Commander.
 func (command *statusCommand) Execute([]string) error {
-	client, err := command.client()
-	if err != nil {
+	var client *lwtoperator.Client
+	var err error
+	if client, err = command.client(); err != nil {
 		return err
 	}
 	if command.DeclaredState {
-		state, err := client.State()
-		if err != nil {
+		var state lwtstate.State
+		if state, err = client.State(); err != nil {
 			return err
 		}
 		return command.streams.printJSON(state)
 	}
-	status, err := client.Status()
-	if err != nil {
+	var status map[string]json.RawMessage
+	if status, err = client.Status(); err != nil {
 		return err
 	}
 	if command.JSON {
--- a/io/lwtcommand/ticket.go
+++ b/io/lwtcommand/ticket.go
@@ -41,12 +41,13 @@
 
 // Execute implements flags.Commander.
 func (command *ticketSubmit) Execute([]string) error {
-	client, err := command.client()
-	if err != nil {
+	var client *lwtoperator.Client
+	var err error
+	if client, err = command.client(); err != nil {
 		return err
 	}
-	content, err := os.ReadFile(command.Args.File)
-	if err != nil {
+	var content []byte
+	if content, err = os.ReadFile(command.Args.File); err != nil {
 		return fmt.Errorf("read the ticket: %w", err)
 	}
 	writeID := command.WriteID
@@ -55,8 +56,8 @@
 	}
 	// The write id is known to the operator before the first attempt.
 	command.streams.print(command.streams.err, "write-id: "+writeID)
-	answer, err := client.Submit(writeID, content)
-	if err != nil {
+	var answer lwtoperator.Answer
+	if answer, err = client.Submit(writeID, content); err != nil {
 		return err
 	}
 	if command.JSON {
@@ -97,8 +98,9 @@
 	if (command.Args.Number > 0) == (command.WriteID != "") {
 		return usage("give either the NUMBER of a ticket or --write-id ID")
 	}
-	client, err := command.client()
-	if err != nil {
+	var client *lwtoperator.Client
+	var err error
+	if client, err = command.client(); err != nil {
 		return err
 	}
 	var record lwtticket.Record
@@ -132,12 +134,13 @@
 	if command.Limit < 1 || command.Before < 0 {
 		return usage("--limit must be above 0 and --before must not be negative")
 	}
-	client, err := command.client()
-	if err != nil {
+	var client *lwtoperator.Client
+	var err error
+	if client, err = command.client(); err != nil {
 		return err
 	}
-	records, err := client.List(command.Before, command.Limit)
-	if err != nil {
+	var records []lwtticket.Record
+	if records, err = client.List(command.Before, command.Limit); err != nil {
 		return err
 	}
 	if command.JSON {
--- a/io/lwtdaemon/declared.go
+++ b/io/lwtdaemon/declared.go
@@ -92,8 +92,9 @@
 
 func (declared *declared) readHead() lwtspread.Msg {
 	sent := time.Now()
-	row, err := readHead(declared.platform)
-	if err != nil {
+	var row headRow
+	var err error
+	if row, err = readHead(declared.platform); err != nil {
 		lwtlog.Debug(declared.logger, "head-read-failed", "err", err)
 		return lwtspread.HeadFailed{}
 	}
@@ -101,8 +102,9 @@
 }
 
 func (declared *declared) readStore(reads lwtticket.Reads) lwtspread.Msg {
-	loaded, err := readStore(declared.platform, reads)
-	if err != nil {
+	var loaded lwtspread.Loaded
+	var err error
+	if loaded, err = readStore(declared.platform, reads); err != nil {
 		lwtlog.Warn(declared.logger, "tickets-read-failed", "err", err)
 		return lwtspread.LoadFailed{}
 	}
--- a/io/lwtdaemon/declared_store.go
+++ b/io/lwtdaemon/declared_store.go
@@ -66,8 +66,9 @@
 
 func readRecord(platform *lwtplatform.Client, number int64) (lwtticket.Record, error) {
 	var record lwtticket.Record
-	row, err := platform.Row(lwtticket.TicketKey(number))
-	if err != nil {
+	var row lwtplatform.Row
+	var err error
+	if row, err = platform.Row(lwtticket.TicketKey(number)); err != nil {
 		return record, fmt.Errorf("ticket %d: %w", number, err)
 	}
 	if err := json.Unmarshal(row.Value, &record); err != nil {
@@ -77,12 +78,13 @@
 }
 
 func readSnapshot(platform *lwtplatform.Client, snapshot lwtticket.Snapshot) (*lwtstate.State, error) {
-	content, err := platform.Object(snapshot.Hash)
-	if err != nil {
+	var content []byte
+	var err error
+	if content, err = platform.Object(snapshot.Hash); err != nil {
 		return nil, fmt.Errorf("snapshot %d: %w", snapshot.Number, err)
 	}
-	state, err := lwtticket.Decode(lwtticket.Object{Hash: snapshot.Hash, Content: content})
-	if err != nil {
+	var state lwtstate.State
+	if state, err = lwtticket.Decode(lwtticket.Object{Hash: snapshot.Hash, Content: content}); err != nil {
 		return nil, err
 	}
 	return &state, nil
@@ -98,8 +100,9 @@
 		}
 	}
 	for _, number := range reads.Tickets {
-		record, err := readRecord(platform, number)
-		if err != nil {
+		var record lwtticket.Record
+		var err error
+		if record, err = readRecord(platform, number); err != nil {
 			return loaded, err
 		}
 		loaded.Records = append(loaded.Records, record)
@@ -111,12 +114,13 @@
 // that the transaction found when it was not committed.
 func commitRows(platform *lwtplatform.Client, commit lwtticket.Commit) (lwtticket.Answered, error) {
 	var answered lwtticket.Answered
-	transaction, err := commitTransaction(commit)
-	if err != nil {
+	var transaction lwtplatform.Transaction
+	var err error
+	if transaction, err = commitTransaction(commit); err != nil {
 		return answered, err
 	}
-	result, err := platform.Commit(transaction)
-	if err != nil {
+	var result lwtplatform.Result
+	if result, err = platform.Commit(transaction); err != nil {
 		return answered, err
 	}
 	answered.Committed = result.Committed
@@ -127,8 +131,8 @@
 			}
 			continue
 		}
-		head, err := decodeHead(row)
-		if err != nil {
+		var head headRow
+		if head, err = decodeHead(row); err != nil {
 			return answered, err
 		}
 		answered.Version, answered.Head = head.version, head.head
@@ -150,8 +154,9 @@
 		{lwtticket.TicketKey(commit.Head.Number), commit.Record},
 		{write, commit.Write},
 	} {
-		value, err := json.Marshal(row.value)
-		if err != nil {
+		var value []byte
+		var err error
+		if value, err = json.Marshal(row.value); err != nil {
 			return transaction, fmt.Errorf("encode row %s: %w", row.key, err)
 		}
 		transaction.Puts = append(transaction.Puts, lwtplatform.Put{Key: row.key, Value: value})
--- a/io/lwtdaemon/operator.go
+++ b/io/lwtdaemon/operator.go
@@ -9,6 +9,7 @@
 	"lacewingtide/core/lwtstate"
 	"lacewingtide/core/lwtticket"
 	"lacewingtide/io/lwtoperator"
+	"lacewingtide/io/lwtplatform"
 	"lacewingtide/io/lwtsetting"
 )
 
@@ -60,12 +61,13 @@
 			return record, nil
 		}
 	}
-	row, err := tickets.declared.platform.Row(lwtticket.WriteKey(writeID))
-	if err != nil {
+	var row lwtplatform.Row
+	var err error
+	if row, err = tickets.declared.platform.Row(lwtticket.WriteKey(writeID)); err != nil {
 		return lwtticket.Record{}, err
 	}
-	write, err := decodeWrite(row)
-	if err != nil {
+	var write *lwtticket.Write
+	if write, err = decodeWrite(row); err != nil {
 		return lwtticket.Record{}, err
 	}
 	return tickets.Ticket(write.Number)
@@ -80,8 +82,9 @@
 	}
 	records := []lwtticket.Record{}
 	for ; number > 0 && len(records) < limit; number-- {
-		record, err := tickets.Ticket(number)
-		if err != nil {
+		var record lwtticket.Record
+		var err error
+		if record, err = tickets.Ticket(number); err != nil {
 			return nil, err
 		}
 		records = append(records, record)
--- a/io/lwtdaemon/submit.go
+++ b/io/lwtdaemon/submit.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"lacewingtide/core/lwtspread"
 	"lacewingtide/core/lwtstate"
 	"lacewingtide/core/lwtticket"
 	"lacewingtide/io/lwtlog"
@@ -66,14 +67,16 @@
 func (declared *declared) carryOut(cmd lwtticket.Cmd) lwtticket.Msg {
 	switch cmd := cmd.(type) {
 	case lwtticket.ReadHead:
-		row, err := readHead(declared.platform)
-		if err != nil {
+		var row headRow
+		var err error
+		if row, err = readHead(declared.platform); err != nil {
 			return declared.submissionFailed(err)
 		}
 		return lwtticket.HeadRead{Version: row.version, Head: row.head}
 	case lwtticket.ReadWrite:
-		write, err := readWrite(declared.platform, cmd.WriteID)
-		if err != nil {
+		var write *lwtticket.Write
+		var err error
+		if write, err = readWrite(declared.platform, cmd.WriteID); err != nil {
 			return declared.submissionFailed(err)
 		}
 		return lwtticket.WriteRead{Write: write}
@@ -86,8 +89,9 @@
 		}
 		return lwtticket.SnapshotStored{Stored: err == nil}
 	case lwtticket.Commit:
-		answered, err := commitRows(declared.platform, cmd)
-		if err != nil {
+		var answered lwtticket.Answered
+		var err error
+		if answered, err = commitRows(declared.platform, cmd); err != nil {
 			return declared.submissionFailed(err)
 		}
 		return answered
@@ -103,8 +107,9 @@
 }
 
 func (declared *declared) loadState(cmd lwtticket.LoadState) lwtticket.Msg {
-	loaded, err := readStore(declared.platform, cmd.Head.ReadsFrom(cmd.From.Number))
-	if err != nil {
+	var loaded lwtspread.Loaded
+	var err error
+	if loaded, err = readStore(declared.platform, cmd.Head.ReadsFrom(cmd.From.Number)); err != nil {
 		return declared.submissionFailed(err)
 	}
 	state := cmd.From
--- a/io/lwtoperator/ticket.go
+++ b/io/lwtoperator/ticket.go
@@ -77,8 +77,8 @@
 		writeError(ctx, fasthttp.StatusBadRequest, "a ticket has a number from 1")
 		return
 	}
-	record, err := server.dependencies.Tickets.Ticket(number)
-	if err != nil {
+	var record lwtticket.Record
+	if record, err = server.dependencies.Tickets.Ticket(number); err != nil {
 		server.writeReadError(ctx, err)
 		return
 	}
@@ -88,8 +88,9 @@
 func (server *Server) handleTickets(ctx *fasthttp.RequestCtx) {
 	args := ctx.QueryArgs()
 	if writeID := string(args.Peek("write-id")); writeID != "" {
-		record, err := server.dependencies.Tickets.ByWriteID(writeID)
-		if err != nil {
+		var record lwtticket.Record
+		var err error
+		if record, err = server.dependencies.Tickets.ByWriteID(writeID); err != nil {
 			server.writeReadError(ctx, err)
 			return
 		}
@@ -100,8 +101,9 @@
 	if limit == 0 {
 		limit = defaultListLimit
 	}
-	records, err := server.dependencies.Tickets.List(int64(before), min(limit, maxListLimit))
-	if err != nil {
+	var records []lwtticket.Record
+	var err error
+	if records, err = server.dependencies.Tickets.List(int64(before), min(limit, maxListLimit)); err != nil {
 		server.writeReadError(ctx, err)
 		return
 	}
--- a/io/lwtplatform/client.go
+++ b/io/lwtplatform/client.go
@@ -121,8 +121,9 @@
 )
 
 func dial(address string) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
-	if err != nil {
+	var conn net.Conn
+	var err error
+	if conn, err = net.DialTimeout("tcp", address, dialTimeout); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	return conn, nil
@@ -134,8 +135,9 @@
 // have been applied.
 func (client *Client) Commit(transaction Transaction) (Result, error) {
 	var result Result
-	body, err := json.Marshal(transaction)
-	if err != nil {
+	var body []byte
+	var err error
+	if body, err = json.Marshal(transaction); err != nil {
 		return result, fmt.Errorf("encode transaction: %w", err)
 	}
 	err = client.call(fasthttp.MethodPost, "/v1/transactions", body, &result)
@@ -181,8 +183,9 @@
 }
 
 func (client *Client) call(method, path string, body []byte, into any) error {
-	call, err := client.admit()
-	if err != nil {
+	var call admission
+	var err error
+	if call, err = client.admit(); err != nil {
 		return err
 	}
 	err = client.send(method, path, body, into)
--- a/io/lwtsetting/setting.go
+++ b/io/lwtsetting/setting.go
@@ -83,8 +83,9 @@
 
 // Load reads and checks a settings file.
 func Load(path string) (Settings, error) {
-	content, err := os.ReadFile(path)
-	if err != nil {
+	var content []byte
+	var err error
+	if content, err = os.ReadFile(path); err != nil {
 		return Settings{}, fmt.Errorf("read settings: %w", err)
 	}
 	return Parse(content)
--- a/io/lwtstandin/declare.go
+++ b/io/lwtstandin/declare.go
@@ -14,8 +14,9 @@
 func (platform *Platform) Declare(changes ...lwtstate.Change) error {
 	var transaction lwtplatform.Transaction
 	put := func(key string, value any) error {
-		encoded, err := json.Marshal(value)
-		if err != nil {
+		var encoded []byte
+		var err error
+		if encoded, err = json.Marshal(value); err != nil {
 			return fmt.Errorf("encode row %s: %w", key, err)
 		}
 		transaction.Puts = append(transaction.Puts, lwtplatform.Put{Key: key, Value: encoded})
