--- a/io/lwtdaemon/join.go
+++ b/io/lwtdaemon/join.go
@@ -17,7 +17,6 @@
 // part works without it, alone.
 type join struct {
 	daemon *Daemon
-	names  []string
 	number int64
 }
 
@@ -40,10 +39,6 @@
 func (join *join) String() string { return "join" }
 
 func (join *join) pass() {
-	if names := join.daemon.members.known(); !slices.Equal(names, join.names) {
-		join.names = names
-		join.daemon.limiter.SetDaemons(names)
-	}
 	if state, _ := join.daemon.declared.State(); state.Number != join.number {
 		join.number = state.Number
 		join.daemon.members.SetNumber(state.Number)
@@ -67,27 +62,6 @@
 // not take its predecessor's leases for its own.
 func runName(member lwtmember.Member) string { return fmt.Sprintf("%s/%d", member.Name, member.Boot) }
 
-// known returns the names of all daemons that the VM list still has or that
-// the membership sees.
-func (members *members) known() []string {
-	model := members.loop.Model()
-	names := []string{model.Self().Name}
-	for _, member := range model.Members() {
-		if member.Live() || members.inVMList(member.Address) {
-			names = append(names, member.Name)
-		}
-	}
-	slices.Sort(names)
-	return slices.Compact(names)
-}
-
-func (members *members) inVMList(address string) bool {
-	members.mutex.Lock()
-	defer members.mutex.Unlock()
-	_, found := members.leavingVM[address]
-	return found
-}
-
 // memberStatus describes one daemon as this one sees it.
 type memberStatus struct {
 	Name             string `json:"name"`
