--- a/core/lwtorder/world_test.go
+++ b/core/lwtorder/world_test.go
@@ -33,6 +33,7 @@
 	reserved   map[string]string
 	state      lwtstate.State
 	daemons    []*daemon
+	members    []string
 	engines    map[string]*fakeEngine
 	storeDown  time.Time
 	storeSlow  time.Time
@@ -40,6 +41,8 @@
 	loseNext   int
 	reads      int
 	writes     int
+	// declared, if set, learns each declared state.
+	declared   func(lwtstate.State)
 	violations []string
 	log        []string
 	// least and mostChanging are what watch saw.
@@ -80,6 +83,7 @@
 	leases  map[string]lwtlease.Model
 	orders  map[string]lwtorder.Model
 	number  int64
+	lag     time.Duration // of the declared state
 	atCheck time.Duration // pause between the check and the send of the next order
 	stop    bool
 }
@@ -138,6 +142,7 @@
 				names = append(names, daemon.run)
 			}
 		}
+		world.members = names
 		for _, daemon := range world.daemons {
 			daemon.deliver(func() {
 				for _, group := range daemon.groups() {
@@ -151,11 +156,14 @@
 // declare puts a state in force at each daemon after up to two seconds.
 func (world *world) declare(state lwtstate.State) {
 	world.state = state
+	if world.declared != nil {
+		world.declared(state)
+	}
 	if world.now.Equal(world.start) {
 		return
 	}
 	for _, daemon := range world.daemons {
-		world.after(time.Duration(world.random.IntN(2000))*time.Millisecond, func() {
+		world.after(daemon.lag+time.Duration(world.random.IntN(2000))*time.Millisecond, func() {
 			daemon.deliver(func() { daemon.declare(state) })
 		})
 	}
@@ -219,7 +227,7 @@
 		if _, found := daemon.leases[engine.Group]; !found {
 			daemon.leases[engine.Group] = lwtlease.New(engine.Group, daemon.run)
 			daemon.orders[engine.Group] = lwtorder.New(engine.Group)
-			daemon.world.announce(0)
+			daemon.update(engine.Group, lwtlease.Members{Names: daemon.world.members}, nil)
 		}
 	}
 	for _, group := range daemon.groups() {
@@ -332,6 +340,12 @@
 		daemon.readState(cmd, reply)
 	case lwtorder.SendOrder:
 		daemon.sendOrder(group, cmd, reply)
+	case lwtorder.ReadHead:
+		msg := lwtorder.HeadRead{Fencing: cmd.Fencing}
+		daemon.store(false, func() { msg.Number = world.state.Number }, func(failed bool) {
+			msg.Failed = failed
+			reply(msg)()
+		})
 	case lwtorder.RaiseFencing:
 		daemon.deliver(func() { daemon.update(group, lwtlease.Raise{Above: cmd.Above}, nil) })
 	case lwtorder.MarkDraining:
