--- a/core/lwtadmission/admission.go
+++ b/core/lwtadmission/admission.go
@@ -57,11 +57,12 @@
 type Admission struct {
 	policy  Policy
 	margins map[lwtstate.Class]*float64
+	shares  shares
 }
 
 // New returns an admission for a policy.
 func New(policy Policy) *Admission {
-	return &Admission{policy: policy, margins: map[lwtstate.Class]*float64{}}
+	return &Admission{policy: policy, margins: map[lwtstate.Class]*float64{}, shares: shares{}}
 }
 
 // WithPolicy replaces the policy and keeps what was learned.
@@ -85,6 +86,12 @@
 // Decide admits a request whose estimate meets its deadlines, and otherwise
 // rejects it at once. A class without an objective is always admitted.
 func (admission *Admission) Decide(_ time.Time, request Request, estimate Estimate) Verdict {
+	verdict := admission.decide(request, estimate)
+	admission.shares.learn(request.Class, verdict.Rejection == nil)
+	return verdict
+}
+
+func (admission *Admission) decide(request Request, estimate Estimate) Verdict {
 	objective, found := admission.policy.Objectives[request.Class]
 	if !found {
 		return Verdict{}
@@ -95,7 +102,7 @@
 	if estimate.Full {
 		return rejected("memory", time.Duration(memoryRetry*float64(estimate.Whole)))
 	}
-	margin := *admission.margin(request.Class)
+	margin := *admission.margin(request.Class) * admission.shares.factor(request.Class)
 	if excess := exceeds(objective.FirstToken, margin, request.Waited+estimate.FirstToken); excess > 0 {
 		return rejected("deadline", excess)
 	}
--- /dev/null
+++ b/core/lwtadmission/admission_test.go
@@ -0,0 +1,110 @@
+package lwtadmission_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lacewingtide/core/lwtadmission"
+	"lacewingtide/core/lwtstate"
+)
+
+const betweenTokens = 32 * time.Millisecond
+
+func newAdmission() *lwtadmission.Admission {
+	return lwtadmission.New(lwtadmission.Policy{
+		BetweenTokens: betweenTokens,
+		Objectives: map[lwtstate.Class]lwtstate.Objective{
+			lwtstate.ClassChat: {
+				FirstToken: lwtstate.Duration(600 * time.Millisecond), Whole: lwtstate.Duration(20 * time.Second),
+			},
+		},
+	})
+}
+
+func drawSpan(t *rapid.T, name string, most time.Duration) time.Duration {
+	return time.Duration(rapid.Int64Range(0, int64(most)).Draw(t, name))
+}
+
+// TestDecideIsMonotonic guards against admitting a request that is estimated to
+// fare worse than a rejected one, and against rejections without a retry time
+// or with one beyond any use.
+func TestDecideIsMonotonic(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		admission := newAdmission()
+		for range rapid.IntRange(0, 200).Draw(t, "results") {
+			admission.WithResult(lwtstate.ClassChat, rapid.Bool().Draw(t, "on time"))
+		}
+		estimate := lwtadmission.Estimate{
+			FirstToken: drawSpan(t, "first", 2*time.Second), Whole: drawSpan(t, "whole", 40*time.Second),
+			BetweenTokens: drawSpan(t, "between", 64*time.Millisecond), Full: rapid.Bool().Draw(t, "full"),
+		}
+		worse := estimate
+		worse.FirstToken += drawSpan(t, "more first", time.Second)
+		worse.Whole += drawSpan(t, "more whole", time.Second)
+		request := lwtadmission.Request{Class: lwtstate.ClassChat}
+		verdict, worseVerdict := admission.Decide(time.Time{}, request, estimate), admission.Decide(time.Time{}, request, worse)
+		if verdict.Rejection != nil && worseVerdict.Rejection == nil {
+			t.Fatalf("rejected %+v but admitted %+v", estimate, worse)
+		}
+		if rejection := verdict.Rejection; rejection != nil {
+			if rejection.RetryAfter < 250*time.Millisecond || rejection.RetryAfter > time.Minute {
+				t.Fatalf("retry after %s for %+v", rejection.RetryAfter, estimate)
+			}
+		}
+	})
+}
+
+// TestLateAnswersTightenAdmission guards against a bias of the estimates that
+// makes admitted answers late for ever.
+func TestLateAnswersTightenAdmission(t *testing.T) {
+	admission := newAdmission()
+	request := lwtadmission.Request{Class: lwtstate.ClassChat}
+	near := lwtadmission.Estimate{FirstToken: 400 * time.Millisecond}
+	if verdict := admission.Decide(time.Time{}, request, near); verdict.Rejection != nil {
+		t.Fatalf("rejected at first: %v", verdict.Rejection)
+	}
+	for range 40 {
+		admission.WithResult(lwtstate.ClassChat, false)
+	}
+	if verdict := admission.Decide(time.Time{}, request, near); verdict.Rejection == nil {
+		t.Error("admitted although 40 answers were late")
+	}
+	for range 5000 {
+		admission.WithResult(lwtstate.ClassChat, true)
+	}
+	if verdict := admission.Decide(time.Time{}, request, near); verdict.Rejection != nil {
+		t.Errorf("rejected although answers are on time again: %v", verdict.Rejection)
+	}
+}
+
+// TestUnknownClassIsAdmitted guards against rejecting work that has no deadline.
+func TestUnknownClassIsAdmitted(t *testing.T) {
+	verdict := newAdmission().Decide(time.Time{}, lwtadmission.Request{Class: lwtstate.ClassPlan},
+		lwtadmission.Estimate{FirstToken: time.Hour, Whole: time.Hour, BetweenTokens: time.Hour, Full: true})
+	if verdict.Rejection != nil {
+		t.Errorf("rejected: %v", verdict.Rejection)
+	}
+}
+
+// TestLengthsLearnFromShortGuess guards against a class that is expected to be
+// long before its first answer, is rejected for it and so never learned.
+func TestLengthsLearnFromShortGuess(t *testing.T) {
+	lengths := lwtadmission.NewLengths()
+	if got := lengths.Expected(lwtstate.ClassLookup, 4096); got > 64 {
+		t.Errorf("expects %d tokens of an unknown class", got)
+	}
+	for range 500 {
+		lengths.WithAnswer(lwtstate.ClassLookup, 20).WithAnswer(lwtstate.ClassPlan, 1000)
+	}
+	if got := lengths.Expected(lwtstate.ClassLookup, 4096); got != 20 {
+		t.Errorf("expects %d tokens, want 20", got)
+	}
+	if got := lengths.Expected(lwtstate.ClassPlan, 100); got != 100 {
+		t.Errorf("expects %d tokens, want the limit 100", got)
+	}
+	if got := lengths.Longest(); got != 1000 {
+		t.Errorf("longest %d, want 1000", got)
+	}
+}
--- a/core/lwtmix/deployment.go
+++ b/core/lwtmix/deployment.go
@@ -28,7 +28,9 @@
 	Objectives []lwtstate.Objective
 	// ChangeCost is the deployment's setting of the planner.
 	ChangeCost float64
-	classes    []classLoad
+	// SwingPeriod is the time from one extreme of the mix to the same again.
+	SwingPeriod time.Duration
+	classes     []classLoad
 }
 
 // classLoad is one kind of request of a workload.
@@ -80,7 +82,8 @@
 			objective(lwtstate.ClassLookup, 400*time.Millisecond, 2*time.Second),
 			objective(lwtstate.ClassOrder, 610*time.Millisecond, 4*time.Second),
 		},
-		ChangeCost: 20,
+		ChangeCost:  20,
+		SwingPeriod: swingPeriod,
 		classes: []classLoad{
 			{class: lwtstate.ClassChat, low: 0.85, high: 0.40, prompt: 500, output: 300},
 			{
@@ -106,7 +109,8 @@
 			objective(lwtstate.ClassLookup, 400*time.Millisecond, 2*time.Second),
 			objective(lwtstate.ClassOrder, 610*time.Millisecond, 4*time.Second),
 		},
-		ChangeCost: 400,
+		ChangeCost:  400,
+		SwingPeriod: swingPeriod,
 		classes: []classLoad{
 			{
 				class: lwtstate.ClassChat, low: 0.87, high: 0.65, prompt: 2500, output: 200,
--- a/core/lwtmix/load.go
+++ b/core/lwtmix/load.go
@@ -23,7 +23,7 @@
 
 // Shape of the workload over time.
 const (
-	// swingPeriod is the time from one extreme of the mix to the same again.
+	// swingPeriod is that of both deployments.
 	swingPeriod = 6 * time.Minute
 	// Loads at the edges and the top of the evening peak, relative to the mean.
 	edgeLoad = 0.75
@@ -88,7 +88,7 @@
 // swing returns where the mix is between its extremes, 0 to 1. It stays longer
 // near the extremes than a sine does.
 func (source *loadSource) swing(at float64) float64 {
-	sine := math.Sin(2 * math.Pi * (at/swingPeriod.Seconds() + source.phase))
+	sine := math.Sin(2 * math.Pi * (at/source.deployment.SwingPeriod.Seconds() + source.phase))
 	return 0.5 + 0.5*math.Tanh(2*sine)/math.Tanh(2)
 }
 
--- a/core/lwtmix/run.go
+++ b/core/lwtmix/run.go
@@ -52,20 +52,24 @@
 // Run runs one policy on arrivals and returns what became of them.
 func Run(experiment Experiment, policy Policy, arrivals []Arrival) Result {
 	run := newRun(experiment, policy, arrivals)
+	run.play()
+	return run.result()
+}
+
+func (run *run) play() {
 	for i := range run.jobs {
 		j := &run.jobs[i]
 		run.time.add(j.arrival.At, func(now int64) { run.arrive(now, j) })
 	}
 	run.every(0, int64(reportInterval), run.takeSnapshots)
-	if policy.Simple == "" {
+	if run.policy.Simple == "" {
 		run.every(0, int64(idlePoll), run.poll)
 		run.startPlanner()
 	}
-	for _, failure := range experiment.Failures {
+	for _, failure := range run.experiment.Failures {
 		run.startFailure(failure)
 	}
 	run.time.run(run.end + int64(tailTime))
-	return run.result()
 }
 
 func newRun(experiment Experiment, policy Policy, arrivals []Arrival) *run {
--- a/core/lwtplanner/plan.go
+++ b/core/lwtplanner/plan.go
@@ -70,7 +70,7 @@
 	defaultLater    = 4 * time.Minute
 	defaultAway     = 5 * time.Second
 	// defaultModelError was measured; see docs/measurements/routing.md.
-	defaultModelError = 0.01
+	defaultModelError = 0.015
 )
 
 // DefaultPolicy returns a policy with a given cost per change.
--- /dev/null
+++ b/core/lwtplanner/plan_test.go
@@ -0,0 +1,175 @@
+package lwtplanner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lacewingtide/core/lwtplanner"
+	"lacewingtide/core/lwtrouter"
+	"lacewingtide/core/lwtstate"
+)
+
+var (
+	now   = time.Unix(1_000_000, 0)
+	roles = []lwtstate.Role{lwtstate.RolePrefill, lwtstate.RoleDecode, lwtstate.RoleMixed}
+)
+
+const memoryTokens = 256 * lwtrouter.BlockTokens
+
+func speeds(demand lwtplanner.Demand) lwtplanner.Speeds {
+	return lwtplanner.NewSpeeds(lwtrouter.DefaultRates(), memoryTokens, demand)
+}
+
+func drawDemand(t *rapid.T) lwtplanner.Demand {
+	prompt, output := rapid.Float64Range(10, 8000).Draw(t, "prompt"), rapid.Float64Range(5, 1500).Draw(t, "output")
+	return lwtplanner.Work(prompt, 0, output).Times(rapid.Float64Range(1, 400).Draw(t, "rate"))
+}
+
+func drawView(t *rapid.T) lwtplanner.View {
+	view := lwtplanner.View{Demand: drawDemand(t), Speeds: speeds, StreamTime: 20 * time.Second}
+	for range rapid.IntRange(0, 5).Draw(t, "past") {
+		view.Past = append(view.Past, drawDemand(t))
+	}
+	for i := range rapid.IntRange(1, 12).Draw(t, "engines") {
+		engine := lwtplanner.Engine{
+			Name: fmt.Sprintf("e%d", i), Role: rapid.SampledFrom(roles).Draw(t, "role"), Allowed: roles,
+			Group: rapid.Bool().Draw(t, "group"), InService: rapid.IntRange(0, 4).Draw(t, "out") > 0,
+			Running:    rapid.IntRange(0, 200).Draw(t, "running"),
+			ReportedAt: now.Add(-time.Duration(rapid.IntRange(0, 4000).Draw(t, "age")) * time.Millisecond),
+			ChangedAt:  now.Add(-time.Duration(rapid.IntRange(0, 200).Draw(t, "changed")) * time.Second),
+		}
+		if rapid.IntRange(0, 9).Draw(t, "changing") == 0 {
+			engine.Target = rapid.SampledFrom(roles).Draw(t, "target")
+		}
+		view.Engines = append(view.Engines, engine)
+	}
+	return view
+}
+
+// TestPlanKeepsItsBounds guards against taking the last engine of a phase,
+// changing engines of another group, within their dwell or outside the allowed
+// roles, and making two changes at once.
+func TestPlanKeepsItsBounds(t *testing.T) {
+	policy := lwtplanner.DefaultPolicy(0)
+	made := 0
+	rapid.Check(t, func(t *rapid.T) {
+		view := drawView(t)
+		changes := lwtplanner.Plan(now, view, policy)
+		if len(changes) > 1 {
+			t.Fatalf("%d changes at once", len(changes))
+		}
+		for _, change := range changes {
+			made++
+			checkChange(t, view, change, policy)
+		}
+	})
+	if made == 0 {
+		t.Error("no change was ever planned, so nothing was checked")
+	}
+}
+
+func checkChange(t *rapid.T, view lwtplanner.View, change lwtplanner.Change, policy lwtplanner.Policy) {
+	during, after := map[lwtstate.Role]int{}, map[lwtstate.Role]int{}
+	for _, engine := range view.Engines {
+		if engine.Group && engine.Target != "" {
+			t.Fatalf("a change while %s changes", engine.Name)
+		}
+		switch {
+		case engine.Name == change.Engine:
+			if !engine.Group || !engine.InService || now.Sub(engine.ChangedAt) < policy.MinDwell || change.Role == engine.Role {
+				t.Fatalf("%+v for %+v", change, engine)
+			}
+			after[change.Role]++
+		case engine.InService && engine.Target == "":
+			during[engine.Role]++
+			after[engine.Role]++
+		}
+	}
+	for _, counts := range []map[lwtstate.Role]int{during, after} {
+		mixed := counts[lwtstate.RoleMixed]
+		if counts[lwtstate.RolePrefill]+mixed == 0 || counts[lwtstate.RoleDecode]+mixed == 0 {
+			t.Fatalf("%+v leaves a phase without engines: %v", change, counts)
+		}
+	}
+}
+
+// starved is a view whose fleet lacks prefill engines by far.
+func starved() lwtplanner.View {
+	view := lwtplanner.View{Demand: lwtplanner.Work(5000, 0, 50).Times(80), Speeds: speeds, StreamTime: 5 * time.Second}
+	for i := range 12 {
+		role := lwtstate.RoleDecode
+		if i < 3 {
+			role = lwtstate.RolePrefill
+		}
+		view.Engines = append(view.Engines, lwtplanner.Engine{
+			Name: fmt.Sprintf("e%d", i), Role: role, Allowed: roles, Group: true, InService: true,
+			Running: 10, ReportedAt: now, ChangedAt: now.Add(-time.Hour),
+		})
+	}
+	return view
+}
+
+// TestPlanCorrectsAStarvedPhase guards against a planner that never acts.
+func TestPlanCorrectsAStarvedPhase(t *testing.T) {
+	changes := lwtplanner.Plan(now, starved(), lwtplanner.DefaultPolicy(20))
+	if len(changes) != 1 || changes[0].Role == lwtstate.RoleDecode {
+		t.Errorf("planned %v", changes)
+	}
+}
+
+// TestPlanNeedsFreshReports guards against acting on a stale view.
+func TestPlanNeedsFreshReports(t *testing.T) {
+	view := starved()
+	view.Engines[7].ReportedAt = now.Add(-6 * time.Second)
+	if changes := lwtplanner.Plan(now, view, lwtplanner.DefaultPolicy(0)); len(changes) != 0 {
+		t.Errorf("planned %v on a stale view", changes)
+	}
+}
+
+// TestPlanWeighsTheCost guards against changes that cost more than they win.
+func TestPlanWeighsTheCost(t *testing.T) {
+	if changes := lwtplanner.Plan(now, starved(), lwtplanner.DefaultPolicy(1e6)); len(changes) != 0 {
+		t.Errorf("planned %v at a cost of a million requests", changes)
+	}
+}
+
+// TestCapacityGrowsWithEngines guards against a capacity that falls when an
+// engine is added, or that depends on the scale of the demand.
+func TestCapacityGrowsWithEngines(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		demand := drawDemand(t)
+		draw := func(name string) int { return rapid.IntRange(0, 8).Draw(t, name) }
+		counts := lwtplanner.Counts{Prefill: draw("prefill"), Decode: draw("decode"), Mixed: draw("mixed")}
+		capacity := lwtplanner.Capacity(counts, demand, speeds(demand))
+		for _, role := range roles {
+			more := counts
+			*more.Of(role)++
+			if got := lwtplanner.Capacity(more, demand, speeds(demand)); got < capacity*(1-1e-6) {
+				t.Fatalf("%+v: %f, one more %s engine: %f", counts, capacity, role, got)
+			}
+		}
+		double := demand.Times(2)
+		if got := lwtplanner.Capacity(counts, double, speeds(double)); got > capacity/2*1.01+1e-9 || got < capacity/2*0.99-1e-9 {
+			t.Fatalf("capacity %f, at twice the demand %f", capacity, got)
+		}
+	})
+}
+
+// TestMeterForgets guards against a demand that stays after the requests end.
+func TestMeterForgets(t *testing.T) {
+	meter := lwtplanner.NewMeter(15 * time.Second)
+	at := now
+	for range 6000 {
+		at = at.Add(10 * time.Millisecond)
+		meter = meter.WithRequest(at, lwtplanner.Work(100, 0, 10))
+	}
+	if rate := meter.Demand(at).Requests; rate < 95 || rate > 105 {
+		t.Errorf("%f requests/s, want 100", rate)
+	}
+	if rate := meter.Demand(at.Add(2 * time.Minute)).Requests; rate > 0.1 {
+		t.Errorf("%f requests/s two minutes later", rate)
+	}
+}
--- /dev/null
+++ b/core/lwtrouter/router_test.go
@@ -0,0 +1,243 @@
+package lwtrouter_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lacewingtide/core/lwtrouter"
+	"lacewingtide/core/lwtstate"
+)
+
+// TestPickUsesAvailableEngines guards, for every rule, against work sent to an
+// engine that is draining, changing or of the wrong role, and against choices
+// that differ for equal random sources.
+func TestPickUsesAvailableEngines(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		engines := drawFleet(t)
+		usable := map[string]lwtstate.Role{}
+		for i := range engines {
+			engines[i].Draining = rapid.IntRange(0, 3).Draw(t, "draining") == 0
+			if !engines[i].Draining {
+				usable[engines[i].Name] = engines[i].Role
+			}
+		}
+		build := func(rule lwtrouter.Rule) *lwtrouter.Router {
+			view := lwtrouter.NewView("d1", lwtrouter.DefaultRates()).WithState(stateOf(engines))
+			return lwtrouter.New(view, rule, rand.New(rand.NewPCG(7, 7)))
+		}
+		request := drawRequest(t)
+		for _, rule := range lwtrouter.Rules() {
+			choice, err := build(rule).Pick(origin, request)
+			again, _ := build(rule).Pick(origin, request)
+			if choice != again {
+				t.Fatalf("%s: %v, then %v", rule, choice, again)
+			}
+			checkChoice(t, rule, usable, choice, err)
+		}
+	})
+}
+
+func checkChoice(
+	t *rapid.T, rule lwtrouter.Rule, usable map[string]lwtstate.Role, choice lwtrouter.Choice, err error,
+) {
+	counts := map[lwtstate.Role]int{}
+	for _, role := range usable {
+		counts[role]++
+	}
+	mixed := counts[lwtstate.RoleMixed]
+	possible := counts[lwtstate.RolePrefill]+mixed > 0 && counts[lwtstate.RoleDecode]+mixed > 0
+	if possible == errors.Is(err, lwtrouter.ErrNoEngine) {
+		t.Fatalf("%s: %v with usable engines %v", rule, err, usable)
+	}
+	if !possible {
+		return
+	}
+	role, found := usable[choice.Engine]
+	if !found || role == lwtstate.RoleDecode {
+		t.Fatalf("%s: prefill on %s of %v", rule, choice.Engine, usable)
+	}
+	if role, found := usable[choice.DecodeEngine]; choice.Split() && (!found || role == lwtstate.RolePrefill) {
+		t.Fatalf("%s: decode on %s of %v", rule, choice.DecodeEngine, usable)
+	}
+	if !choice.Split() && role != lwtstate.RoleMixed {
+		t.Fatalf("%s: both phases on %s", rule, role)
+	}
+}
+
+func mixedFleet(count int) lwtstate.State {
+	engines := make([]lwtstate.Engine, count)
+	for i := range engines {
+		engines[i] = lwtstate.Engine{
+			Name: fmt.Sprintf("e%04d", i), Models: []string{"m"}, MemoryBlocks: 256, Role: lwtstate.RoleMixed,
+		}
+	}
+	return stateOf(engines)
+}
+
+// TestDaemonsWithOneStaleReportSpread guards against many daemons that all send
+// to the engine that the last report showed idle.
+func TestDaemonsWithOneStaleReportSpread(t *testing.T) {
+	const daemons, engines = 40, 12
+	counts := map[string]int{}
+	for daemon := range daemons {
+		view := lwtrouter.NewView("d", lwtrouter.DefaultRates()).WithState(mixedFleet(engines))
+		for i := 1; i < engines; i++ {
+			view.WithReport(fmt.Sprintf("e%04d", i), lwtrouter.Report{TakenAt: origin, Incarnation: 1, Running: 20, FreeBlocks: 200})
+		}
+		router := lwtrouter.New(view, lwtrouter.RuleTwoChoicesPrefix, rand.New(rand.NewPCG(1, uint64(daemon))))
+		request := lwtrouter.Request{Model: "m", Class: lwtstate.ClassChat, PromptTokens: 500, OutputTokens: 200}
+		choice, err := router.Pick(origin, request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		counts[choice.Engine]++
+	}
+	if most := counts["e0000"]; most > daemons/3 {
+		t.Errorf("%d of %d daemons chose the idle engine: %v", most, daemons, counts)
+	}
+}
+
+// TestCacheEventGapMakesBlocksStale guards against trusting blocks that may
+// have been evicted in events that were lost, and against never using them.
+func TestCacheEventGapMakesBlocksStale(t *testing.T) {
+	view := lwtrouter.NewView("d", lwtrouter.DefaultRates()).WithState(mixedFleet(1))
+	router := lwtrouter.New(view, lwtrouter.RuleTwoChoicesPrefix, rand.New(rand.NewPCG(1, 1)))
+	request := lwtrouter.Request{Model: "m", PromptTokens: 5000, OutputTokens: 10, Prefixes: []uint64{1, 2}}
+	cached := func() int {
+		choice, err := router.Pick(origin, request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return choice.CachedTokens
+	}
+	steps := []struct {
+		events []lwtrouter.CacheEvent
+		want   int
+	}{
+		{nil, 0},
+		{[]lwtrouter.CacheEvent{{Sequence: 1, Prefix: 1}, {Sequence: 2, Prefix: 2}}, 4096},
+		{[]lwtrouter.CacheEvent{{Sequence: 9, Prefix: 1}}, 2048 + 1024}, // 3 to 8 are missing
+		{[]lwtrouter.CacheEvent{{Sequence: 10, Prefix: 2}}, 4096},
+		{[]lwtrouter.CacheEvent{{Sequence: 11, Prefix: 1, Evicted: true}}, 0},
+	}
+	for i, step := range steps {
+		view.WithCacheEvents("e0000", step.events)
+		if got := cached(); got != step.want {
+			t.Errorf("step %d: %d cached tokens, want %d", i, got, step.want)
+		}
+	}
+	view.WithReport("e0000", lwtrouter.Report{TakenAt: origin, Incarnation: 1, FreeBlocks: 256})
+	view.WithCacheEvents("e0000", []lwtrouter.CacheEvent{{Sequence: 12, Prefix: 1}})
+	view.WithReport("e0000", lwtrouter.Report{TakenAt: origin, Incarnation: 2, FreeBlocks: 256})
+	if got := cached(); got != 0 || view.CacheCursor("e0000") != 0 {
+		t.Errorf("after a restart: %d cached tokens, cursor %d", got, view.CacheCursor("e0000"))
+	}
+}
+
+// TestDownEngineIsTriedWhenNoneIsLeft guards against rejecting work for a
+// second after a single failed attempt on the only engine.
+func TestDownEngineIsTriedWhenNoneIsLeft(t *testing.T) {
+	view := lwtrouter.NewView("d", lwtrouter.DefaultRates()).WithState(mixedFleet(2))
+	router := lwtrouter.New(view, lwtrouter.RuleTwoChoicesPrefix, rand.New(rand.NewPCG(1, 1)))
+	request := lwtrouter.Request{Model: "m", PromptTokens: 10, OutputTokens: 10}
+	for i, want := range []string{"e0001", "e0000"} {
+		view.WithDown("e0000", origin.Add(time.Second))
+		if i == 1 {
+			view.WithUnwanted("e0001", true)
+		}
+		if choice, err := router.Pick(origin, request); err != nil || choice.Engine != want {
+			t.Errorf("got %s, %v, want %s", choice.Engine, err, want)
+		}
+	}
+}
+
+// TestPrefixesFollowWholeBlocks guards against hashes that depend on how the
+// prompt is cut into messages, or that match different models.
+func TestPrefixesFollowWholeBlocks(t *testing.T) {
+	text := make([]byte, 3*4*lwtrouter.BlockTokens+5)
+	whole := lwtrouter.Prefixes("m", [][]byte{text})
+	parts := lwtrouter.Prefixes("m", [][]byte{text[:100], text[100:9000], text[9000:]})
+	other := lwtrouter.Prefixes("n", [][]byte{text})
+	if len(whole) != 3 || fmt.Sprint(whole) != fmt.Sprint(parts) || whole[0] == other[0] {
+		t.Errorf("whole %v, parts %v, other model %v", whole, parts, other)
+	}
+}
+
+// TestSubsetKeepsBothPhases guards against a daemon of a large fleet that uses
+// no engine of one phase, and against polling that grows with the fleet.
+func TestSubsetKeepsBothPhases(t *testing.T) {
+	state := mixedFleet(600)
+	change := lwtstate.Change{Number: 2}
+	for i, name := range state.EnginesOf("m") {
+		engine := state.Engines[name]
+		engine.Role = lwtstate.RoleDecode
+		if i%20 == 0 {
+			engine.Role = lwtstate.RolePrefill
+		}
+		change.Engines = append(change.Engines, engine)
+	}
+	for daemon := range 50 {
+		view := lwtrouter.NewView(fmt.Sprint("d", daemon), lwtrouter.DefaultRates()).WithState(state.WithChange(change))
+		used := map[lwtstate.Role]int{}
+		for _, status := range view.Statuses(origin) {
+			if status.Used {
+				used[status.Role]++
+			}
+		}
+		if used[lwtstate.RolePrefill] == 0 || used[lwtstate.RoleDecode] < 20 || used[lwtstate.RoleDecode] > 32 {
+			t.Fatalf("daemon %d uses %v", daemon, used)
+		}
+	}
+}
+
+// BenchmarkPick measures a decision and its record with four models on all
+// engines.
+func BenchmarkPick(b *testing.B) {
+	for _, count := range []int{12, 48, 120, 600, 1200, 2400, 4800} {
+		b.Run(fmt.Sprintf("engines=%d", count), func(b *testing.B) {
+			benchmarkPick(b, count)
+		})
+	}
+}
+
+func benchmarkPick(b *testing.B, count int) {
+	models := []string{"m1", "m2", "m3", "m4"}
+	change := lwtstate.Change{Number: 1}
+	for _, model := range models {
+		change.Models = append(change.Models, lwtstate.Model{Name: model, Version: "1"})
+	}
+	roles := []lwtstate.Role{lwtstate.RoleMixed, lwtstate.RolePrefill, lwtstate.RoleDecode}
+	for i := range count {
+		change.Engines = append(change.Engines, lwtstate.Engine{
+			Name: fmt.Sprintf("e%04d", i), Models: models, Role: roles[i%len(roles)], MemoryBlocks: 256,
+			AvailabilityZone: fmt.Sprint("z", i%3),
+		})
+	}
+	view := lwtrouter.NewView("d1", lwtrouter.DefaultRates()).WithState(lwtstate.New().WithChange(change))
+	router := lwtrouter.New(view, lwtrouter.RuleTwoChoicesPrefix, rand.New(rand.NewPCG(1, 1)))
+	requests := make([]lwtrouter.Request, 64)
+	for i := range requests {
+		prefix := uint64(i%16) << 8
+		requests[i] = lwtrouter.Request{
+			Model: models[i%len(models)], Class: lwtstate.ClassChat, PromptTokens: 5000, OutputTokens: 200,
+			Prefixes: []uint64{prefix, prefix + 1}, AvailabilityZone: "z1",
+		}
+	}
+	now := origin
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(200 * time.Microsecond)
+		request := requests[i%len(requests)]
+		choice, err := router.Pick(now, request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		view.WithSent(now, request, choice)
+		view.WithReport(choice.Engine, lwtrouter.Report{TakenAt: now, Incarnation: 1, Running: i % 50, FreeBlocks: 200})
+	}
+}
