Test reservations between two groups on sockets

Cause: the rows that keep two groups from changing their last copies at the same time were exercised only in virtual time. Change: a daemon with two groups of one engine each changes both roles, one after the other, and leaves no reservation. Conclusion: the groups take turns.

--- a/io/lwtdaemon/authority_test.go
+++ b/io/lwtdaemon/authority_test.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 
 	"lacewingtide/core/lwtlease"
+	"lacewingtide/core/lwtorder"
 	"lacewingtide/core/lwtstate"
 	"lacewingtide/io/lwtdaemon"
 	"lacewingtide/io/lwtsetting"
@@ -25,42 +26,42 @@
 	}
 }
 
-// startOrdered serves an engine that runs model m and adds it to the change as
-// one that is declared to run m and n.
-func startOrdered(ctx context.Context, t *testing.T, change *lwtstate.Change, name string, checks bool) *lwtstandin.Engine {
+// ordered is a daemon that brings engines to the declared state.
+type ordered struct {
+	daemon   *lwtdaemon.Daemon
+	platform *lwtstandin.Platform
+	change   lwtstate.Change
+	engines  []*lwtstandin.Engine
+}
+
+func newOrdered() *ordered {
+	return &ordered{platform: lwtstandin.NewPlatform(), change: lwtstate.Change{
+		Number: 1, Models: []lwtstate.Model{{Name: "m", Version: "1"}, {Name: "n", Version: "1"}},
+	}}
+}
+
+// serve starts an engine that runs model m and declares it.
+func (ordered *ordered) serve(ctx context.Context, t *testing.T, declared lwtstate.Engine) *lwtstandin.Engine {
 	t.Helper()
-	options := lwtstandin.DefaultEngineOptions(name, "m")
-	options.ChangeTime, options.ChecksFencing = 100*time.Millisecond, checks
+	options := lwtstandin.DefaultEngineOptions(declared.Name, "m")
+	options.ChangeTime, options.ChecksFencing = 100*time.Millisecond, declared.ChecksFencing
 	options.Weights, options.ModelBlocks = lwtstandin.NewWeightStore(1000), 10
 	engine, listener := lwtstandin.NewEngine(options, 1), listen(t)
 	go func() { _ = engine.Serve(listener) }()
 	go func() { _ = engine.Run(ctx) }()
-	change.Engines = append(change.Engines, lwtstate.Engine{
-		Name: name, Address: listener.Addr().String(), Group: "g1", Role: lwtstate.RoleMixed,
-		Models: []string{"m", "n"}, ChecksFencing: checks,
-		OrderReadTimeout: lwtstate.Duration(options.OrderReadTimeout),
-	})
+	declared.Address = listener.Addr().String()
+	declared.OrderReadTimeout = lwtstate.Duration(options.OrderReadTimeout)
+	ordered.change.Engines = append(ordered.change.Engines, declared)
+	ordered.engines = append(ordered.engines, engine)
 	return engine
 }
 
-// TestDaemonOrdersEngines guards against engines that stay as they are although
-// the declared state differs, against a repeated order, and against a lease that
-// is left behind by a shutdown.
-func TestDaemonOrdersEngines(t *testing.T) {
-	t.Parallel()
-	ctx, stop := context.WithCancel(t.Context())
-	defer stop()
-	change := lwtstate.Change{
-		Number: 1, Models: []lwtstate.Model{{Name: "m", Version: "1"}, {Name: "n", Version: "1"}},
-	}
-	engines := []*lwtstandin.Engine{
-		startOrdered(ctx, t, &change, "e1", true), startOrdered(ctx, t, &change, "e2", false),
-	}
-	// One engine is lost halfway through its change.
-	engines[0].CrashNextChange()
-	platform, platformListener := lwtstandin.NewPlatform(), listen(t)
-	go func() { _ = platform.Serve(platformListener) }()
-	if err := platform.Declare(change); err != nil {
+// run starts the daemon and returns the channel of its end.
+func (ordered *ordered) run(ctx context.Context, t *testing.T) <-chan error {
+	t.Helper()
+	platformListener := listen(t)
+	go func() { _ = ordered.platform.Serve(platformListener) }()
+	if err := ordered.platform.Declare(ordered.change); err != nil {
 		t.Fatal(err)
 	}
 	listeners := lwtdaemon.Listeners{Entry: listen(t), Peer: listen(t), Operator: listen(t)}
@@ -70,26 +71,48 @@
 	settings.PeerKey = "0123456789abcdef"
 	settings.Platform.Address = platformListener.Addr().String()
 	settings.Addresses.Drain = lwtstate.Duration(100 * time.Millisecond)
-	daemon, err := lwtdaemon.New(settings, listeners, log.NewNopLogger())
-	if err != nil {
+	var err error
+	if ordered.daemon, err = lwtdaemon.New(settings, listeners, log.NewNopLogger()); err != nil {
 		t.Fatal(err)
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- daemon.Run(ctx) }()
-	eventually(t, "both engines steady as declared", func() bool {
-		status := daemon.AuthorityStatus()
-		if len(status) != 1 || !status[0].Own || len(status[0].Engines) != 2 {
-			return false
-		}
-		for _, engine := range status[0].Engines {
-			if engine.Phase != "steady" || !engine.Content.Equal(engine.Target) {
+	go func() { ended <- ordered.daemon.Run(ctx) }()
+	return ended
+}
+
+// settled reports whether all engines are known and as declared.
+func (ordered *ordered) settled() bool {
+	known := 0
+	for _, group := range ordered.daemon.AuthorityStatus() {
+		for _, engine := range group.Engines {
+			if engine.Phase != lwtorder.PhaseSteady || !engine.Content.Equal(engine.Target) {
 				return false
 			}
+			known++
 		}
-		return true
-	})
+	}
+	return known == len(ordered.engines)
+}
+
+func both() []string { return []string{"m", "n"} }
+
+// TestDaemonOrdersEngines guards against engines that stay as they are although
+// the declared state differs, against a repeated order, and against a lease that
+// is left behind by a shutdown.
+func TestDaemonOrdersEngines(t *testing.T) {
+	t.Parallel()
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	ordered := newOrdered()
+	engine := lwtstate.Engine{Name: "e1", Group: "g1", Role: lwtstate.RoleMixed, Models: both(), ChecksFencing: true}
+	// One engine is lost halfway through its change.
+	ordered.serve(ctx, t, engine).CrashNextChange()
+	engine.Name, engine.ChecksFencing = "e2", false
+	ordered.serve(ctx, t, engine)
+	ended := ordered.run(ctx, t)
+	eventually(t, "both engines steady as declared", ordered.settled)
 	for i, want := range []int{2, 1} {
-		if orders, conflicts, _ := engines[i].AcceptedOrders(); len(orders) != want || conflicts != 0 {
+		if orders, conflicts, _ := ordered.engines[i].AcceptedOrders(); len(orders) != want || conflicts != 0 {
 			t.Errorf("engine %d took %+v with %d conflicts, want %d orders", i+1, orders, conflicts, want)
 		}
 	}
@@ -98,8 +121,34 @@
 		t.Error(err)
 	}
 	var lease lwtlease.Row
-	row, _ := platform.Table().Row("lease/g1")
+	row, _ := ordered.platform.Table().Row("lease/g1")
 	if err := json.Unmarshal(row.Value, &lease); err != nil || lease.Holder != "" || lease.Fencing == 0 {
 		t.Errorf("lease row %+v after the shutdown, error %v", lease, err)
 	}
 }
+
+// TestLastCopiesOfTwoGroupsTakeTurns guards against two groups that take their
+// only copies of a model out of service at the same time, and against a
+// reservation that is left behind.
+func TestLastCopiesOfTwoGroupsTakeTurns(t *testing.T) {
+	t.Parallel()
+	ordered := newOrdered()
+	engine := lwtstate.Engine{
+		Name: "e1", Group: "g1", Role: lwtstate.RoleDecode, Models: []string{"m"}, ChecksFencing: true,
+	}
+	ordered.serve(t.Context(), t, engine)
+	engine.Name, engine.Group = "e2", "g2"
+	ordered.serve(t.Context(), t, engine)
+	ordered.run(t.Context(), t)
+	eventually(t, "both engines in their role", ordered.settled)
+	first, _, _ := ordered.engines[0].AcceptedOrders()
+	second, _, _ := ordered.engines[1].AcceptedOrders()
+	if len(first) != 1 || len(second) != 1 {
+		t.Fatalf("orders %+v and %+v", first, second)
+	}
+	// The second engine is drained for 3 s after the first one serves again.
+	if apart := second[0].At.Sub(first[0].At).Abs(); apart < lwtorder.DrainSettle {
+		t.Errorf("the orders were only %s apart", apart)
+	}
+	eventually(t, "no reservation", func() bool { return len(ordered.platform.Table().Rows("reservation/")) == 0 })
+}
