--- a/io/lwtdaemon/lease.go
+++ b/io/lwtdaemon/lease.go
@@ -96,8 +96,8 @@
 	return lease.Fencing == fencing && lease.Lasts(now, span)
 }
 
-// shouldRelease reports whether a lease is to be given up: the group has no
-// engines any more or the daemon stops, and no order can take effect any more.
+// shouldRelease reports whether a lease is to be given up: the daemon stops, and
+// no order that it sent can take effect any more.
 func (authority *authority) shouldRelease(name string) bool {
 	authority.mutex.RLock()
 	defer authority.mutex.RUnlock()
