Wait for leaving daemons at the end of a test

Cause: daemons of the shutdown test still ran while later tests did. Change: the test waits for their end. Conclusion: later tests have the machine to themselves.

--- a/io/lwtdaemon/shutdown_test.go
+++ b/io/lwtdaemon/shutdown_test.go
@@ -93,8 +93,12 @@
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	rolling.stops[index], rolling.ended[index] = stop, ended
-	t.Cleanup(stop)
-	go func() { ended <- daemon.Run(ctx) }()
+	// Daemons that are still leaving would slow later tests down.
+	t.Cleanup(func() { stop(); <-ended })
+	go func() {
+		defer close(ended)
+		ended <- daemon.Run(ctx)
+	}()
 }
 
 // awaitAll waits until each daemon names all of them.
