Check that each daemon of the shutdown test ends without an error

Cause: the last daemons of a fleet were stopped without a look at the result. Change: the cleanup checks it.

--- a/io/lwtdaemon/shutdown_test.go
+++ b/io/lwtdaemon/shutdown_test.go
@@ -94,7 +94,12 @@
 	ended := make(chan error, 1)
 	rolling.stops[index], rolling.ended[index] = stop, ended
 	// Daemons that are still leaving would slow later tests down.
-	t.Cleanup(func() { stop(); <-ended })
+	t.Cleanup(func() {
+		stop()
+		if err := <-ended; err != nil {
+			t.Errorf("shutdown: %v", err)
+		}
+	})
 	go func() {
 		defer close(ended)
 		ended <- daemon.Run(ctx)
