--- a/core/lwtadmission/admission.go
+++ b/core/lwtadmission/admission.go
@@ -18,6 +18,8 @@
 	FirstToken    time.Duration
 	Whole         time.Duration
 	BetweenTokens time.Duration
+	// Full says that the engine lacks memory for the request.
+	Full bool
 }
 
 // Verdict is the decision on a request. A nil Rejection admits it.
@@ -45,6 +47,9 @@
 	marginRise = marginFall / 50
 	// leastRetry keeps callers from retrying within one load report.
 	leastRetry = 250 * time.Millisecond
+	// memoryRetry is the share of the time of an answer after which a tenth
+	// of the memory is expected to be free again.
+	memoryRetry = 0.1
 )
 
 // Admission admits or rejects requests for one daemon. It is changed in place
@@ -52,11 +57,12 @@
 type Admission struct {
 	policy  Policy
 	margins map[lwtstate.Class]*float64
+	shares  shares
 }
 
 // New returns an admission for a policy.
 func New(policy Policy) *Admission {
-	return &Admission{policy: policy, margins: map[lwtstate.Class]*float64{}}
+	return &Admission{policy: policy, margins: map[lwtstate.Class]*float64{}, shares: shares{}}
 }
 
 // WithPolicy replaces the policy and keeps what was learned.
@@ -65,7 +71,8 @@
 	return admission
 }
 
-// WithResult learns whether an admitted request was answered on time.
+// WithResult learns whether an admitted request met a deadline. It is told at
+// the first token, and again when a whole answer is late.
 func (admission *Admission) WithResult(class lwtstate.Class, onTime bool) *Admission {
 	margin := admission.margin(class)
 	if onTime {
@@ -79,6 +86,12 @@
 // Decide admits a request whose estimate meets its deadlines, and otherwise
 // rejects it at once. A class without an objective is always admitted.
 func (admission *Admission) Decide(_ time.Time, request Request, estimate Estimate) Verdict {
+	verdict := admission.decide(request, estimate)
+	admission.shares.learn(request.Class, verdict.Rejection == nil)
+	return verdict
+}
+
+func (admission *Admission) decide(request Request, estimate Estimate) Verdict {
 	objective, found := admission.policy.Objectives[request.Class]
 	if !found {
 		return Verdict{}
@@ -86,7 +99,10 @@
 	if limit := admission.policy.BetweenTokens; limit > 0 && estimate.BetweenTokens > limit {
 		return rejected("capacity", capacityRetry(estimate, limit))
 	}
-	margin := *admission.margin(request.Class)
+	if estimate.Full {
+		return rejected("memory", time.Duration(memoryRetry*float64(estimate.Whole)))
+	}
+	margin := *admission.margin(request.Class) * admission.shares.factor(request.Class)
 	if excess := exceeds(objective.FirstToken, margin, request.Waited+estimate.FirstToken); excess > 0 {
 		return rejected("deadline", excess)
 	}
--- a/core/lwtmix/daemon.go
+++ b/core/lwtmix/daemon.go
@@ -36,12 +36,16 @@
 }
 
 func newDaemon(index int, state lwtstate.State, policy Policy, random *rand.Rand) *daemon {
-	view := lwtrouter.NewView("d"+string(rune('1'+index)), lwtrouter.DefaultRates()).WithState(state)
+	senders := daemonCount
+	if policy.Clairvoyant {
+		senders = 1
+	}
+	view := lwtrouter.NewView("d"+string(rune('1'+index)), lwtrouter.DefaultRates()).WithState(state).WithSenders(senders)
 	return &daemon{
 		index:  index,
 		router: lwtrouter.New(view, policy.Rule, random),
 		admission: lwtadmission.New(lwtadmission.Policy{
-			Objectives: state.Objectives, BetweenTokens: lwtrouter.DefaultBetweenTokens,
+			Objectives: state.Objectives, BetweenTokens: lwtrouter.BetweenTokensLimit,
 		}),
 		lengths:     lwtadmission.NewLengths(),
 		meter:       lwtplanner.NewMeter(meterSpan),
@@ -58,13 +62,13 @@
 		return &lwtadmission.Rejection{Reason: "no_engine", RetryAfter: time.Second}
 	}
 	if j.attempts == 0 {
-		daemon.meter = daemon.meter.WithRequest(now,
-			float64(j.request.PromptTokens-choice.CachedTokens), float64(j.request.OutputTokens))
+		daemon.meter = daemon.meter.WithRequest(now, lwtplanner.Work(
+			float64(j.request.PromptTokens), float64(choice.CachedTokens), float64(j.request.OutputTokens)))
 	}
 	verdict := daemon.admission.Decide(now, lwtadmission.Request{
 		Class: j.request.Class, Waited: time.Duration(now.UnixNano() - j.arrival.At),
 	}, lwtadmission.Estimate{
-		FirstToken: choice.FirstToken, Whole: choice.Whole, BetweenTokens: choice.BetweenTokens,
+		FirstToken: choice.FirstToken, Whole: choice.Whole, BetweenTokens: choice.BetweenTokens, Full: choice.Full,
 	})
 	// A request that began to run is not given up when its engine is lost.
 	if verdict.Rejection != nil && j.starts == 0 {
--- a/core/lwtmix/run.go
+++ b/core/lwtmix/run.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"lacewingtide/core/lwtplanner"
 	"lacewingtide/core/lwtrouter"
 	"lacewingtide/core/lwtstate"
 )
@@ -18,8 +19,8 @@
 	// Load is a multiple of the fleet's capacity.
 	Load     float64
 	Duration time.Duration
-	// Quiet leaves out the drained engine, the crash and the lost entry VM.
-	Quiet bool
+	// Failures happen besides the load.
+	Failures []Failure
 }
 
 // DefaultDuration is the virtual time of one run.
@@ -45,25 +46,30 @@
 	end        int64
 	tally      tally
 	changedAt  map[string]time.Time
+	past       []lwtplanner.Demand
 }
 
 // Run runs one policy on arrivals and returns what became of them.
 func Run(experiment Experiment, policy Policy, arrivals []Arrival) Result {
 	run := newRun(experiment, policy, arrivals)
+	run.play()
+	return run.result()
+}
+
+func (run *run) play() {
 	for i := range run.jobs {
 		j := &run.jobs[i]
 		run.time.add(j.arrival.At, func(now int64) { run.arrive(now, j) })
 	}
 	run.every(0, int64(reportInterval), run.takeSnapshots)
-	if policy.Simple == "" {
+	if run.policy.Simple == "" {
 		run.every(0, int64(idlePoll), run.poll)
 		run.startPlanner()
 	}
-	if !experiment.Quiet {
-		run.startFailures()
+	for _, failure := range run.experiment.Failures {
+		run.startFailure(failure)
 	}
 	run.time.run(run.end + int64(tailTime))
-	return run.result()
 }
 
 func newRun(experiment Experiment, policy Policy, arrivals []Arrival) *run {
@@ -185,6 +191,7 @@
 
 func (run *run) sent(now int64, daemon *daemon, j *job) {
 	j.starts++
+	j.sentAt = now
 	daemon.outstanding[j.engine]++
 	if j.decodeAt != j.engine {
 		j.decodeAt.inbound++
