--- a/io/lwtentry/completion.go
+++ b/io/lwtentry/completion.go
@@ -199,6 +199,7 @@
 // certainly did not run it, or when the request may run more than once.
 func (server *Server) place(state lwtstate.State, call *completion) (*lwtengine.Stream, *APIError) {
 	outcome, deadline := lwtretry.NotSent, time.Now().Add(attemptPatience)
+	var left []lwtrouter.Choice
 	for number := 1; ; number++ {
 		choice, err := server.dependencies.Router.Pick(time.Now(), call.request)
 		if err != nil {
@@ -214,9 +215,10 @@
 		if err == nil {
 			call.placed = true
 			server.learn(choice, events)
-			server.abandon(state, call, failed)
+			server.abandon(state, call, left)
 			return events, nil
 		}
+		left = append(left, choice)
 		// The router prefers other engines from now on.
 		server.dependencies.Router.Done(time.Now(), call.request, choice, true)
 		server.log(call.id, "engine-attempt-failed", "engine", choice.Engine, "err", err)
