Reserve a last copy only when earlier reservations are freed

Cause: TestLastCopiesOfTwoGroupsTakeTurns failed once on a busy machine (load 31): the two orders were 2.2 s apart instead of at least 3 s. A Free that was not answered could be carried out after the next Reserve and delete its row, so that the second group got the reservation while the first one drained. Ruled out: two drains without reservation (both engines are declared from the start) and an order sent twice (each engine took one). Change: a group reserves nothing until its Free is answered; a Free that failed is repeated. Reservation rows carry the lease's fencing number, and a holder deletes only rows of its own or older numbers, as it may have been paused.

--- a/core/lwtorder/choose.go
+++ b/core/lwtorder/choose.go
@@ -36,9 +36,10 @@
 		}
 	}
 	cmds = append(cmds, model.dueReads(now)...)
-	if model.mayReserve && model.atRest() {
-		model.mayReserve = false
-		cmds = append(cmds, Free{Group: model.group})
+	if model.mayReserve && model.freeing == 0 && !now.Before(model.freeAt) && model.atRest() {
+		model.attempts++
+		model.freeing = model.attempts
+		cmds = append(cmds, Free{Group: model.group, Attempt: model.freeing, Fencing: model.lease.Fencing})
 	}
 	if above := model.highestFencing(); above > model.lease.Fencing {
 		cmds = append(cmds, RaiseFencing{Group: model.group, Above: above})
@@ -186,14 +187,15 @@
 		both.blocks(model.state) <= engine.declared.MemoryBlocks {
 		return model.order(now, engine, both)
 	}
-	if now.Before(engine.reserveAt) {
+	if model.freeing != 0 || now.Before(engine.reserveAt) {
 		return engine, nil
 	}
 	model.attempts++
 	model.mayReserve = true
 	engine.attempt, engine.reserving = model.attempts, true
 	return engine, Reserve{
-		Engine: engine.declared.Name, Attempt: engine.attempt, Group: model.group, Models: needed,
+		Engine: engine.declared.Name, Attempt: engine.attempt, Group: model.group, Fencing: model.lease.Fencing,
+		Models: needed,
 	}
 }
 
--- /dev/null
+++ b/core/lwtorder/free_test.go
@@ -0,0 +1,76 @@
+package lwtorder_test
+
+import (
+	"testing"
+	"time"
+
+	"lacewingtide/core/lwtlease"
+	"lacewingtide/core/lwtorder"
+	"lacewingtide/core/lwtstate"
+)
+
+// TestNoReservationWhileOneIsFreed guards against a slow Free that deletes the
+// reservation made after it, so that two groups give up their last copies of a
+// model at the same time.
+func TestNoReservationWhileOneIsFreed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	engine := lwtstate.Engine{
+		Name: "e1", Group: "g1", Role: lwtstate.RoleDecode, Models: []string{"m"}, ChecksFencing: true,
+	}
+	other := engine
+	other.Name, other.Group = "e2", "g2"
+	state := lwtstate.New().WithChange(lwtstate.Change{
+		Number: 1, Engines: []lwtstate.Engine{engine, other}, Models: []lwtstate.Model{{Name: "m", Version: "1"}},
+	})
+	model := lwtorder.New("g1")
+	var reserved, freed int64
+	update := func(msg lwtorder.Msg) {
+		queue := []lwtorder.Msg{msg}
+		for len(queue) > 0 {
+			var cmds []lwtorder.Cmd
+			model, cmds = model.Update(now, queue[0])
+			queue = queue[1:]
+			for _, cmd := range cmds {
+				switch cmd := cmd.(type) {
+				case lwtorder.ReadHead:
+					queue = append(queue, lwtorder.HeadRead{Fencing: cmd.Fencing, Number: 1})
+				case lwtorder.ReadState:
+					queue = append(queue, lwtorder.StateRead{Engine: cmd.Engine, Attempt: cmd.Attempt, State: lwtorder.State{
+						Incarnation: 1,
+						Content:     lwtorder.Content{Role: lwtstate.RoleMixed, Models: map[string]string{"m": "1"}},
+					}})
+				case lwtorder.Reserve:
+					reserved = cmd.Attempt
+				case lwtorder.Free:
+					freed = cmd.Attempt
+				}
+			}
+		}
+	}
+	tick := func(span time.Duration) {
+		for end := now.Add(span); now.Before(end); now = now.Add(250 * time.Millisecond) {
+			update(lwtorder.Tick{})
+		}
+	}
+	update(lwtorder.Declare{State: state})
+	update(lwtorder.Authority{Lease: lwtlease.Lease{Fencing: 1, Until: now.Add(time.Hour)}})
+	tick(5 * time.Second)
+	if reserved == 0 {
+		t.Fatal("no reservation asked for")
+	}
+	update(lwtorder.Reserved{Engine: "e1", Attempt: reserved, Models: []string{"m"}})
+	tick(time.Second)
+	if freed == 0 {
+		t.Fatal("a reservation that was not granted is not freed")
+	}
+	before := reserved
+	tick(5 * time.Second)
+	if reserved != before {
+		t.Error("reserved while an earlier Free was under way")
+	}
+	update(lwtorder.Freed{Attempt: freed})
+	tick(3 * time.Second)
+	if reserved == before {
+		t.Error("no new reservation after the Free was answered")
+	}
+}
--- a/core/lwtorder/message.go
+++ b/core/lwtorder/message.go
@@ -113,6 +113,13 @@
 	Granted bool
 }
 
+// Freed answers a Free.
+type Freed struct {
+	Attempt int64
+	// Failed says that rows may be left.
+	Failed bool
+}
+
 // Stop asks to begin no more orders.
 type Stop struct{}
 
@@ -124,6 +131,7 @@
 func (HeadRead) orderMsg()   {}
 func (Ordered) orderMsg()    {}
 func (Reserved) orderMsg()   {}
+func (Freed) orderMsg()      {}
 func (Stop) orderMsg()       {}
 
 // Cmd is a command of a Model.
@@ -155,11 +163,18 @@
 	Engine  string
 	Attempt int64
 	Group   string
+	Fencing int64
 	Models  []string
 }
 
-// Free asks to delete all reservation rows of the group.
-type Free struct{ Group string }
+// Free asks to delete the reservation rows of the group that were written under
+// the fencing number or an older one, to be answered by Freed. Until then the
+// group reserves nothing, as a Free that is under way could delete the row.
+type Free struct {
+	Group   string
+	Attempt int64
+	Fencing int64
+}
 
 // RaiseFencing asks for a lease with a fencing number above the given one,
 // because an engine that checks fencing numbers has seen that one.
--- a/core/lwtorder/model.go
+++ b/core/lwtorder/model.go
@@ -57,7 +57,10 @@
 	headAt   time.Time
 	// mayReserve says that reservation rows of the group may exist.
 	mayReserve bool
-	stopping   bool
+	// freeing is the attempt of a Free that is not answered; 0 if there is none.
+	freeing  int64
+	freeAt   time.Time
+	stopping bool
 }
 
 // New returns the model of a group without a declared state.
@@ -101,6 +104,8 @@
 		}
 	case Reserved:
 		model = model.reservedAnswer(now, msg)
+	case Freed:
+		model = model.freedAnswer(now, msg)
 	}
 	switch msg := msg.(type) {
 	case Declare, Authority, RoleWanted:
@@ -271,6 +276,16 @@
 	return model
 }
 
+func (model Model) freedAnswer(now time.Time, msg Freed) Model {
+	if msg.Attempt != model.freeing {
+		return model
+	}
+	model.freeing = 0
+	model.freeAt = now.Add(reserveInterval)
+	model.mayReserve = msg.Failed
+	return model
+}
+
 // changes returns the commands that report what differs between two models.
 func changes(before, after Model) []Cmd {
 	var cmds []Cmd
--- a/core/lwtorder/world_test.go
+++ b/core/lwtorder/world_test.go
@@ -30,7 +30,7 @@
 	events     int64
 	rows       map[string]lwtlease.Row
 	versions   int64
-	reserved   map[string]string
+	reserved   map[string]reservation
 	state      lwtstate.State
 	daemons    []*daemon
 	members    []string
@@ -91,7 +91,7 @@
 func newWorld(seed uint64, daemons int) *world {
 	world := &world{
 		start: time.Unix(1_000_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)),
-		rows: map[string]lwtlease.Row{}, reserved: map[string]string{}, least: map[string]int{}, engines: map[string]*fakeEngine{},
+		rows: map[string]lwtlease.Row{}, reserved: map[string]reservation{}, least: map[string]int{}, engines: map[string]*fakeEngine{},
 		state: lwtstate.New(),
 	}
 	world.now = world.start
@@ -332,6 +332,12 @@
 	}
 }
 
+// reservation is the holder of a model's reservation.
+type reservation struct {
+	group   string
+	fencing int64
+}
+
 func (daemon *daemon) executeOrder(group string, cmd lwtorder.Cmd) {
 	world := daemon.world
 	reply := func(msg lwtorder.Msg) func() { return func() { daemon.update(group, nil, msg) } }
@@ -354,17 +360,20 @@
 		world.log = append(world.log, fmt.Sprintf("%s %s %s %s %s", world.now.Sub(world.start), daemon.run, cmd.Engine, cmd.Phase, cmd.Reason))
 	case lwtorder.Free:
 		daemon.store(true, func() {
-			maps.DeleteFunc(world.reserved, func(_, holder string) bool { return holder == group })
-		}, func(bool) {})
+			maps.DeleteFunc(world.reserved, func(_ string, holder reservation) bool {
+				return holder.group == group && holder.fencing <= cmd.Fencing
+			})
+		}, func(failed bool) { reply(lwtorder.Freed{Attempt: cmd.Attempt, Failed: failed})() })
 	case lwtorder.Reserve:
 		granted := true
 		daemon.store(true, func() {
 			for _, model := range cmd.Models {
-				if holder := world.reserved[model]; holder != "" && holder != group {
+				holder, found := world.reserved[model]
+				if found && (holder.group != group || holder.fencing > cmd.Fencing) {
 					granted = false
 					return
 				}
-				world.reserved[model] = group
+				world.reserved[model] = reservation{group, cmd.Fencing}
 				granted = granted && world.servedOutside(model, group)
 			}
 		}, func(failed bool) {
--- a/io/lwtdaemon/order.go
+++ b/io/lwtdaemon/order.go
@@ -32,7 +32,9 @@
 			answer(lwtorder.Reserved{Engine: cmd.Engine, Attempt: cmd.Attempt})
 		})
 	case lwtorder.Free:
-		authority.submit(authority.storeCalls, func() { authority.free(cmd.Group) }, func() {})
+		authority.submit(authority.storeCalls, func() { answer(authority.free(cmd)) }, func() {
+			answer(lwtorder.Freed{Attempt: cmd.Attempt, Failed: true})
+		})
 	case lwtorder.RaiseFencing:
 		go authority.answer(groupMsg{group: group, lease: lwtlease.Raise{Above: cmd.Above}})
 	case lwtorder.MarkDraining:
@@ -84,6 +86,8 @@
 // out of service.
 type reservation struct {
 	Group string `json:"group"`
+	// Fencing is that of the lease under which the row was written.
+	Fencing int64 `json:"fencing"`
 }
 
 // reserve writes the reservation rows and then looks for other groups' copies.
@@ -92,7 +96,7 @@
 func (authority *authority) reserve(cmd lwtorder.Reserve) lwtorder.Reserved {
 	granted := true
 	for _, model := range cmd.Models {
-		if err := authority.reserveModel(cmd.Group, model); err != nil {
+		if err := authority.reserveModel(reservation{cmd.Group, cmd.Fencing}, model); err != nil {
 			lwtlog.Info(authority.logger, "reservation-not-granted", "group", cmd.Group, "model", model, "err", err)
 			granted = false
 			break
@@ -105,7 +109,7 @@
 	return lwtorder.Reserved{Engine: cmd.Engine, Attempt: cmd.Attempt, Models: cmd.Models, Granted: granted}
 }
 
-func (authority *authority) reserveModel(group, model string) error {
+func (authority *authority) reserveModel(wanted reservation, model string) error {
 	key := reservationPrefix + model
 	row, err := authority.platform.Row(key)
 	if err != nil && !errors.Is(err, lwtplatform.ErrNotFound) {
@@ -116,12 +120,14 @@
 		if err := json.Unmarshal(row.Value, &holder); err != nil {
 			return fmt.Errorf("decode reservation: %w", err)
 		}
-		if holder.Group == group {
+		if holder == wanted {
 			return nil
 		}
-		return fmt.Errorf("reserved by group %s", holder.Group)
+		if holder.Group != wanted.Group || holder.Fencing > wanted.Fencing {
+			return fmt.Errorf("reserved by group %s under fencing number %d", holder.Group, holder.Fencing)
+		}
 	}
-	value, err := json.Marshal(reservation{Group: group})
+	value, err := json.Marshal(wanted)
 	if err != nil {
 		return fmt.Errorf("encode reservation: %w", err)
 	}
@@ -153,22 +159,26 @@
 	return false
 }
 
-// free deletes the group's reservation rows. What it misses is deleted by the
-// next holder, which also begins with unknown reservations.
-func (authority *authority) free(group string) {
+// free deletes the group's reservation rows, but none of a later holder of the
+// lease: this one may have been paused on the way.
+func (authority *authority) free(cmd lwtorder.Free) lwtorder.Freed {
+	freed := lwtorder.Freed{Attempt: cmd.Attempt}
 	rows, err := authority.platform.Rows(reservationPrefix)
 	if err != nil {
-		lwtlog.Warn(authority.logger, "reservations-not-freed", "group", group, "err", err)
-		return
+		lwtlog.Warn(authority.logger, "reservations-not-freed", "group", cmd.Group, "err", err)
+		freed.Failed = true
 	}
 	for _, row := range rows {
 		var holder reservation
-		if err := json.Unmarshal(row.Value, &holder); err != nil || holder.Group != group {
+		if err := json.Unmarshal(row.Value, &holder); err != nil || holder.Group != cmd.Group ||
+			holder.Fencing > cmd.Fencing {
 			continue
 		}
 		_, err := authority.platform.Commit(lwtplatform.Transaction{
 			Conditions: []lwtplatform.Condition{{Key: row.Key, Version: row.Version}}, Deletes: []string{row.Key},
 		})
-		lwtlog.Info(authority.logger, "reservation-freed", "group", group, "row", row.Key, "err", err)
+		freed.Failed = freed.Failed || err != nil
+		lwtlog.Info(authority.logger, "reservation-freed", "group", cmd.Group, "row", row.Key, "err", err)
 	}
+	return freed
 }
