Stop new work to backend servers that the VM list names as leaving

Cause: the VM list was read every 30 s and only for daemons, so a backend server whose VM leaves went on getting work; its VM was also taken for a daemon. Change: daemons read the list every 2 to 4 s, by their number; routing and services skip backend servers whose address or VM leaves; VMs of backend servers are no peers.

--- a/io/lwtdaemon/daemon.go
+++ b/io/lwtdaemon/daemon.go
@@ -100,7 +100,9 @@
 	daemon.authority = newAuthority(runName(daemon.members.Model().Self()), daemon.declared, daemon.platform,
 		daemon.engines, daemon.logger)
 	daemon.drains = newDrains(daemon.authority.Draining, daemon.peers, daemon.logger)
-	daemon.router.draining = daemon.drains.Draining
+	daemon.router.draining = func(engine lwtstate.Engine) bool {
+		return daemon.drains.Draining(engine.Name) || daemon.members.BackendLeaving(engine.Address)
+	}
 	daemon.join = newJoin(daemon)
 	daemon.entry = lwtentry.New(lwtentry.Dependencies{
 		Declared:         daemon.declared,
@@ -108,7 +110,7 @@
 		Limiter:          daemon.limiter,
 		Addresses:        newAddresses(daemon.members, settings),
 		Observer:         daemon.observer,
-		Services:         newForwarder(daemon.claims, settings.AvailabilityZone, daemon.logger),
+		Services:         newForwarder(daemon.claims, settings.AvailabilityZone, daemon.members.BackendLeaving, daemon.logger),
 		Engines:          daemon.engines,
 		Logger:           daemon.logger,
 		StreamKey:        []byte(settings.PeerKey),
--- a/io/lwtdaemon/members.go
+++ b/io/lwtdaemon/members.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,10 +23,6 @@
 const (
 	memberTick  = 100 * time.Millisecond
 	memberQueue = 1024
-	// vmListInterval is the time between two reads of the VM list, so that 370
-	// daemons read it about 12 times a second.
-	vmListInterval = 30 * time.Second
-	vmLeaving      = "leaving"
 	// trafficInterval is the time between two log lines about the traffic.
 	trafficInterval = 10 * time.Second
 )
@@ -50,8 +45,10 @@
 
 	mutex     sync.Mutex
 	leavingVM map[string]bool
-	onPause   []func(gap time.Duration)
-	onNumber  []func(number int64, from string)
+	// leavingBackends is by address as the VM list has it.
+	leavingBackends map[string]bool
+	onPause         []func(gap time.Duration)
+	onNumber        []func(number int64, from string)
 }
 
 func newMembers(
@@ -199,39 +196,6 @@
 	}
 }
 
-// followVMs reads the VM list from time to time.
-func (members *members) followVMs(ctx context.Context) {
-	wait := time.Duration(0)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(wait):
-		}
-		members.readVMs(ctx)
-		wait = vmListInterval*3/4 + time.Duration(rand.Int64N(int64(vmListInterval/2)))
-	}
-}
-
-func (members *members) readVMs(ctx context.Context) {
-	peers, leaving := slices.Clone(members.settings.Peers), map[string]bool{}
-	vms, err := members.platform.VMs()
-	if err != nil {
-		lwtlog.Warn(members.logger, "vm-list-read-failed", "err", err)
-	}
-	for _, vm := range vms {
-		address := members.peerAddress(vm.Address)
-		peers = append(peers, address)
-		leaving[address] = vm.State == vmLeaving
-	}
-	if err == nil {
-		members.mutex.Lock()
-		members.leavingVM = leaving
-		members.mutex.Unlock()
-	}
-	members.loop.Send(ctx, lwtmember.Peers{Addresses: peers})
-}
-
 // peerAddress returns the peer address of a VM. The VM list may leave out the
 // port where all daemons use the same one.
 func (members *members) peerAddress(address string) string {
--- a/io/lwtdaemon/planner.go
+++ b/io/lwtdaemon/planner.go
@@ -125,7 +125,7 @@
 			if !wanted.done {
 				engine.Target = wanted.role
 			}
-		} else if planner.router.draining(status.Name) {
+		} else if planner.router.draining(status.Declared) {
 			engine.InService = false
 		}
 		engines = append(engines, engine)
@@ -143,7 +143,7 @@
 		delete(planner.wanted, status.Name)
 		return wantedRole{}, false
 	}
-	wanted.done = status.Role == wanted.role && !planner.router.draining(status.Name)
+	wanted.done = status.Role == wanted.role && !planner.router.draining(status.Declared)
 	planner.wanted[status.Name] = wanted
 	return wanted, true
 }
--- a/io/lwtdaemon/planner_test.go
+++ b/io/lwtdaemon/planner_test.go
@@ -123,7 +123,7 @@
 func TestDrainedEngineGetsNoWork(t *testing.T) {
 	now := time.Now()
 	router := starvedRouter(now)
-	router.draining = func(engine string) bool { return engine == "e1" }
+	router.draining = func(engine lwtstate.Engine) bool { return engine.Name == "e1" }
 	_, err := router.Pick(now, lwtrouter.Request{Model: "m", PromptTokens: 10, OutputTokens: 10})
 	if err == nil {
 		t.Error("the only prefill engine got work although it is drained")
--- a/io/lwtdaemon/router.go
+++ b/io/lwtdaemon/router.go
@@ -23,8 +23,8 @@
 // router owns the routing view of the daemon, and what is learned from answers.
 type router struct {
 	declared *declared
-	// draining reports whether an engine is about to be changed.
-	draining func(engine string) bool
+	// draining reports whether an engine is about to be changed or its VM leaves.
+	draining func(engine lwtstate.Engine) bool
 
 	mutex     sync.Mutex
 	number    int64
@@ -41,7 +41,7 @@
 	view := lwtrouter.NewView(declared.name, lwtrouter.DefaultRates())
 	return &router{
 		declared:  declared,
-		draining:  func(string) bool { return false },
+		draining:  func(lwtstate.Engine) bool { return false },
 		router:    lwtrouter.New(view, lwtrouter.RuleTwoChoicesPrefix, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		view:      view,
 		admission: lwtadmission.New(lwtadmission.Policy{}),
@@ -77,13 +77,18 @@
 func (router *router) pick(now time.Time, request lwtrouter.Request) (lwtrouter.Choice, error) {
 	for {
 		choice, err := router.router.Pick(now, request)
-		if err != nil || !router.draining(choice.Engine) {
+		if err != nil || !router.draining(router.engine(choice.Engine)) {
 			return choice, err
 		}
 		router.view.WithUnwanted(choice.Engine, true)
 	}
 }
 
+func (router *router) engine(name string) lwtstate.Engine {
+	state, _ := router.declared.State()
+	return state.Engines[name]
+}
+
 func (router *router) declare(state lwtstate.State) {
 	if state.Number == router.number {
 		return
--- a/io/lwtdaemon/router_poll.go
+++ b/io/lwtdaemon/router_poll.go
@@ -97,7 +97,7 @@
 	router.declare(state)
 	statuses := router.view.Statuses(now)
 	for _, status := range statuses {
-		router.view.WithUnwanted(status.Name, router.draining(status.Name))
+		router.view.WithUnwanted(status.Name, router.draining(status.Declared))
 	}
 	// The other engines of a large fleet are not this daemon's concern.
 	return slices.DeleteFunc(statuses, func(status lwtrouter.Status) bool {
--- a/io/lwtdaemon/service.go
+++ b/io/lwtdaemon/service.go
@@ -33,8 +33,8 @@
 	backends *backends
 }
 
-func newForwarder(claims *claims, zone string, logger log.Logger) *forwarder {
-	return &forwarder{logger: logger, claims: claims, pool: newServicePool(), backends: newBackends(zone)}
+func newForwarder(claims *claims, zone string, leaving func(address string) bool, logger log.Logger) *forwarder {
+	return &forwarder{logger: logger, claims: claims, pool: newServicePool(), backends: newBackends(zone, leaving)}
 }
 
 // Forward implements lwtentry.Services.
--- a/io/lwtdaemon/service_drive.go
+++ b/io/lwtdaemon/service_drive.go
@@ -12,7 +12,9 @@
 // backends owns the daemon's view of backend servers: breakers, running
 // attempts, the retry budget and the hedging rule.
 type backends struct {
-	zone     string
+	zone string
+	// leaving reports whether the VM list names a backend server as leaving.
+	leaving  func(address string) bool
 	mutex    sync.Mutex
 	breakers map[string]lwtretry.Breaker
 	active   map[string]int
@@ -21,9 +23,10 @@
 	count    int
 }
 
-func newBackends(zone string) *backends {
+func newBackends(zone string, leaving func(address string) bool) *backends {
 	return &backends{
 		zone:     zone,
+		leaving:  leaving,
 		breakers: map[string]lwtretry.Breaker{},
 		active:   map[string]int{},
 		budget:   lwtretry.NewBudget(),
@@ -41,8 +44,9 @@
 	candidates := make([]lwtretry.Server, 0, len(servers))
 	for _, server := range servers {
 		candidates = append(candidates, lwtretry.Server{
-			Address: server.Address, Near: server.AvailabilityZone == backends.zone, Draining: server.Draining,
-			Breaker: backends.breakers[server.Address], Active: backends.active[server.Address],
+			Address: server.Address, Near: server.AvailabilityZone == backends.zone,
+			Draining: server.Draining || backends.leaving(server.Address),
+			Breaker:  backends.breakers[server.Address], Active: backends.active[server.Address],
 		})
 	}
 	return lwtretry.Order(now, candidates, backends.count), backends.hedge.Delay()
--- /dev/null
+++ b/io/lwtdaemon/vms_test.go
@@ -0,0 +1,70 @@
+package lwtdaemon
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"lacewingtide/core/lwtstate"
+	"lacewingtide/io/lwtplatform"
+	"lacewingtide/io/lwtsetting"
+	"lacewingtide/io/lwtstandin"
+)
+
+type fixedState struct{ state lwtstate.State }
+
+func (fixed fixedState) State() (lwtstate.State, bool) { return fixed.state, true }
+
+// TestVMListNamesLeavingBackends guards against work for a backend server whose
+// VM leaves, and against backend servers that are taken for daemons.
+func TestVMListNamesLeavingBackends(t *testing.T) {
+	platform := lwtstandin.NewPlatform()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	go func() { _ = platform.Serve(listener) }()
+	platform.SetVMs([]lwtplatform.VM{
+		{Name: "engine-1", Address: "10.0.0.1", State: "leaving"},
+		{Name: "engine-2", Address: "10.0.0.2", State: "live"},
+		{Name: "shop-1", Address: "10.0.0.3:80", State: "leaving"},
+		{Name: "entry-2", Address: "10.0.0.4:9200", State: "live"},
+	})
+	state := lwtstate.New().WithChange(lwtstate.Change{
+		Number:  1,
+		Engines: []lwtstate.Engine{{Name: "e1", Address: "10.0.0.1:9000"}, {Name: "e2", Address: "10.0.0.2:9000"}},
+		Services: []lwtstate.Service{{Name: "shop", BackendServers: []lwtstate.BackendServer{
+			{Address: "10.0.0.3:80"}, {Address: "10.0.0.3:81"},
+		}}},
+	})
+	settings := lwtsetting.Default()
+	settings.Name, settings.PeerAddress, settings.EntryAddress = "entry-1", "127.0.0.1:1", "127.0.0.1:2"
+	_, members := newMembers(settings, Listeners{}, fixedState{state},
+		lwtplatform.New(listener.Addr().String(), time.Second), log.NewNopLogger())
+	members.readVMs(context.Background())
+	for address, want := range map[string]bool{
+		"10.0.0.1:9000": true, "10.0.0.2:9000": false, "10.0.0.3:80": true, "10.0.0.3:81": false,
+	} {
+		if got := members.BackendLeaving(address); got != want {
+			t.Errorf("leaving %s: %t, want %t", address, got, want)
+		}
+	}
+	if len(members.leavingVM) != 1 {
+		t.Errorf("taken for daemons: %v", members.leavingVM)
+	}
+}
+
+// TestVMListIsReadWithinSeconds guards against new work long after a VM began
+// to leave, and against too many reads by a large fleet.
+func TestVMListIsReadWithinSeconds(t *testing.T) {
+	for _, daemons := range []int{1, 4, 64, 370} {
+		interval := vmListInterval(daemons)
+		if interval > 4*time.Second || float64(daemons)/interval.Seconds() > vmListReads {
+			t.Errorf("%d daemons read every %s", daemons, interval)
+		}
+	}
+}
