Keep the port of a closed relay, and pause before repeated requests in a test

Cause: the kernel gave the port of a closed relay to another test's server, which then answered in its place. TestAnswersNeverMix repeated refused requests without the pause that the answer asks for, and hung on a busy machine. Change: a closed relay keeps its port without listening until its fleet ends; the test waits 250 ms before it repeats a request.

--- a/io/lwtdaemon/stream_test.go
+++ b/io/lwtdaemon/stream_test.go
@@ -56,7 +56,8 @@
 		tokens  = 8
 		// repeats bounds the repeated requests at once, so that a burst too large
 		// for a busy machine is not repeated as a burst.
-		repeats = 32
+		repeats     = 32
+		repeatPause = 250 * time.Millisecond
 	)
 	world := newWorldOf(t, lwtstandin.FleetOptions{Names: 8, Disturbed: true})
 	world.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: streams, DisableCompression: true}}
@@ -80,6 +81,8 @@
 						slots <- struct{}{}
 						defer func() { <-slots }()
 					}
+					// Refused requests ask for a pause before the next attempt.
+					time.Sleep(repeatPause)
 					continue
 				}
 				if i%4 < 2 {
--- a/io/lwtstandin/fault_relay.go
+++ b/io/lwtstandin/fault_relay.go
@@ -30,6 +30,8 @@
 	left     int64
 	listener net.Listener
 	open     map[net.Conn]bool
+	// release gives up the address that a closed relay keeps.
+	release  func()
 	accepted atomic.Int64
 	silenced atomic.Int64
 }
@@ -64,15 +66,26 @@
 func (relay *FaultRelay) Close() {
 	relay.mutex.Lock()
 	defer relay.mutex.Unlock()
-	if relay.listener != nil {
+	if relay.listener != nil && relay.release == nil {
 		// A listener that is closed already refuses as well.
 		_ = relay.listener.Close()
+		relay.release = refuseAt(relay.listener.Addr())
 	}
 	for conn := range relay.open {
 		closeQuietly(conn)
 	}
 }
 
+// Release gives up the address of a closed relay.
+func (relay *FaultRelay) Release() {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	if relay.release != nil {
+		relay.release()
+	}
+	relay.release = func() {}
+}
+
 func (relay *FaultRelay) track(conn net.Conn, open bool) {
 	relay.mutex.Lock()
 	defer relay.mutex.Unlock()
--- a/io/lwtstandin/fleet.go
+++ b/io/lwtstandin/fleet.go
@@ -120,7 +120,10 @@
 	}
 	relay := NewFaultRelay(target)
 	fleet.Relays[name] = relay
-	context.AfterFunc(ctx, relay.Close)
+	context.AfterFunc(ctx, func() {
+		relay.Close()
+		relay.Release()
+	})
 	return start(ctx, relay.Serve)
 }
 
