--- a/core/lwtorder/message.go
+++ b/core/lwtorder/message.go
@@ -89,6 +89,14 @@
 	Failed bool
 }
 
+// HeadRead answers a ReadHead with the number of the table's newest state.
+type HeadRead struct {
+	Fencing int64
+	Number  int64
+	// Failed says that no answer came.
+	Failed bool
+}
+
 // Ordered answers a SendOrder.
 type Ordered struct {
 	Engine  string
@@ -105,6 +113,13 @@
 	Granted bool
 }
 
+// Freed answers a Free.
+type Freed struct {
+	Attempt int64
+	// Failed says that rows may be left.
+	Failed bool
+}
+
 // Stop asks to begin no more orders.
 type Stop struct{}
 
@@ -113,8 +128,10 @@
 func (Authority) orderMsg()  {}
 func (RoleWanted) orderMsg() {}
 func (StateRead) orderMsg()  {}
+func (HeadRead) orderMsg()   {}
 func (Ordered) orderMsg()    {}
 func (Reserved) orderMsg()   {}
+func (Freed) orderMsg()      {}
 func (Stop) orderMsg()       {}
 
 // Cmd is a command of a Model.
@@ -126,6 +143,10 @@
 	Attempt         int64
 }
 
+// ReadHead asks for the number of the newest declared state in the table, to be
+// answered by HeadRead.
+type ReadHead struct{ Fencing int64 }
+
 // SendOrder asks to send an order, to be answered by Ordered. The body may be
 // sent only while the lease with the order's fencing number lasts for Margin.
 type SendOrder struct {
@@ -142,11 +163,18 @@
 	Engine  string
 	Attempt int64
 	Group   string
+	Fencing int64
 	Models  []string
 }
 
-// Free asks to delete all reservation rows of the group.
-type Free struct{ Group string }
+// Free asks to delete the reservation rows of the group that were written under
+// the fencing number or an older one, to be answered by Freed. Until then the
+// group reserves nothing, as a Free that is under way could delete the row.
+type Free struct {
+	Group   string
+	Attempt int64
+	Fencing int64
+}
 
 // RaiseFencing asks for a lease with a fencing number above the given one,
 // because an engine that checks fencing numbers has seen that one.
@@ -169,6 +197,7 @@
 }
 
 func (ReadState) orderCmd()    {}
+func (ReadHead) orderCmd()     {}
 func (SendOrder) orderCmd()    {}
 func (Reserve) orderCmd()      {}
 func (Free) orderCmd()         {}
--- a/core/lwtorder/model.go
+++ b/core/lwtorder/model.go
@@ -29,6 +29,8 @@
 	maxOrderBackoff    = 30 * time.Second
 	changeReadInterval = 250 * time.Millisecond
 	maxReadBackoff     = 4 * time.Second
+	headInterval       = time.Second
+	headTimeout        = 10 * time.Second
 	reserveInterval    = 2 * time.Second
 	idleReadsNeeded    = 2
 )
@@ -47,9 +49,18 @@
 	sequence int64
 	attempts int64
 	ticked   time.Time
+	// head is the number of the newest state when the authority began; an
+	// earlier holder may have carried out orders of it. headRead says that it is
+	// known, headAt when to ask for it again.
+	head     int64
+	headRead bool
+	headAt   time.Time
 	// mayReserve says that reservation rows of the group may exist.
 	mayReserve bool
-	stopping   bool
+	// freeing is the attempt of a Free that is not answered; 0 if there is none.
+	freeing  int64
+	freeAt   time.Time
+	stopping bool
 }
 
 // New returns the model of a group without a declared state.
@@ -85,15 +96,22 @@
 		model = model.tick(now)
 	case StateRead:
 		model = model.stateRead(now, msg)
+	case HeadRead:
+		model = model.readHead(now, msg)
 	case Ordered:
 		if engine, found := model.answered(msg.Engine, msg.Attempt); found && engine.phase == PhaseOrdering {
 			model.engines[msg.Engine] = engine.sent(now, msg.Outcome)
 		}
 	case Reserved:
 		model = model.reservedAnswer(now, msg)
+	case Freed:
+		model = model.freedAnswer(now, msg)
 	}
-	if _, tick := msg.(Tick); !tick {
-		model = model.retarget()
+	switch msg := msg.(type) {
+	case Declare, Authority, RoleWanted:
+		model.retarget(model.names...)
+	case StateRead:
+		model.retarget(msg.Engine)
 	}
 	next, cmds := model.step(now)
 	return next, append(changes(before, next), cmds...)
@@ -146,11 +164,23 @@
 		// A renewal that was slow can restore an authority after it lapsed; its
 		// orders go on counting.
 		model.fencing, model.sequence, model.roles = lease.Fencing, 0, nil
+		model.headRead, model.headAt = false, now
 	}
 	model.lease = lease
 	return model
 }
 
+func (model Model) readHead(now time.Time, msg HeadRead) Model {
+	switch {
+	case msg.Fencing != model.fencing:
+	case msg.Failed:
+		model.headAt = now.Add(headInterval)
+	default:
+		model.head, model.headRead = msg.Number, true
+	}
+	return model
+}
+
 func (model Model) reset(now time.Time) Model {
 	for name, engine := range model.engines {
 		model.engines[name] = engine.reset(now, model.lease.Until)
@@ -184,13 +214,15 @@
 	return model
 }
 
-func (model Model) retarget() Model {
-	for name, engine := range model.engines {
-		engine.target = model.target(engine)
-		engine.differs = !engine.state.Content.Equal(engine.target)
-		model.engines[name] = engine
+// retarget computes the targets of engines anew in the model's own map.
+func (model Model) retarget(names ...string) {
+	for _, name := range names {
+		if engine, found := model.engines[name]; found {
+			engine.target = model.target(engine)
+			engine.differs = !engine.state.Content.Equal(engine.target)
+			model.engines[name] = engine
+		}
 	}
-	return model
 }
 
 // target returns what an engine should run: the declared content, in the role
@@ -244,6 +276,16 @@
 	return model
 }
 
+func (model Model) freedAnswer(now time.Time, msg Freed) Model {
+	if msg.Attempt != model.freeing {
+		return model
+	}
+	model.freeing = 0
+	model.freeAt = now.Add(reserveInterval)
+	model.mayReserve = msg.Failed
+	return model
+}
+
 // changes returns the commands that report what differs between two models.
 func changes(before, after Model) []Cmd {
 	var cmds []Cmd
