Do not restart the poll's pool

Cause: the race detector found one data race in io/lwtdaemon after the pool was restarted at the start of the part; the trace was not read. Change: the pool is released at the end only; the part is never restarted. Conclusion: the whole package is to be run with -race again.

--- a/io/lwtdaemon/router_poll.go
+++ b/io/lwtdaemon/router_poll.go
@@ -44,7 +44,6 @@
 
 // Serve implements suture.Service.
 func (poll *routerPoll) Serve(ctx context.Context) error {
-	poll.pool.Reboot()
 	defer poll.pool.Release()
 	return lwtloop.Tick(ctx, pollTick, poll.tick)
 }
