--- a/io/lwtstandin/refuse_test.go
+++ b/io/lwtstandin/refuse_test.go
@@ -17,13 +17,14 @@
 	relay := NewFaultRelay("127.0.0.1:1")
 	ended := make(chan error, 1)
 	go func() { ended <- relay.Serve(listener) }()
-	for relay.Close(); ; relay.Close() {
+	var served error
+	for served == nil {
+		// The relay may not have begun to serve yet.
+		relay.Close()
 		select {
-		case <-ended:
+		case served = <-ended:
 		default:
-			continue
 		}
-		break
 	}
 	if _, err := net.Dial("tcp", listener.Addr().String()); !errors.Is(err, syscall.ECONNREFUSED) {
 		t.Errorf("dial: %v, want refused", err)
