Bound the polls of engines, and take cached prompts out before prefill

At the size to design for, 128 used engines would cost a daemon 73 KB/s in polls (128 times 343 + 224 B each second), over the 17 KB/s for all control work. Change: the stand-in looks into its cache in the step that queues the stream. A daemon makes at most 24 polls a second, those due longest first.

--- /dev/null
+++ b/core/lwtrouter/view_bench_test.go
@@ -0,0 +1,55 @@
+package lwtrouter_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"lacewingtide/core/lwtrouter"
+	"lacewingtide/core/lwtstate"
+)
+
+const cachedBlocks = 100
+
+// BenchmarkViewMemory measures the memory of the routing view for one engine,
+// with and without 100 cached blocks, and the cost of taking a cache event.
+func BenchmarkViewMemory(b *testing.B) {
+	for _, engines := range []int{12, 48, 128, 600} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			change := lwtstate.Change{Number: 1, Models: []lwtstate.Model{{Name: "m", Version: "1"}}}
+			for i := range engines {
+				change.Engines = append(change.Engines, lwtstate.Engine{
+					Name: fmt.Sprintf("e%04d", i), Models: []string{"m"}, Role: lwtstate.RoleMixed, MemoryBlocks: 256,
+				})
+			}
+			state := lwtstate.New().WithChange(change)
+			for b.Loop() {
+				start := heap()
+				view := lwtrouter.NewView("d1", lwtrouter.DefaultRates()).WithState(state)
+				empty := heap()
+				for name := range state.Engines {
+					view.WithCacheEvents(name, cacheEvents(cachedBlocks))
+				}
+				full := heap()
+				b.ReportMetric(float64(empty-start)/float64(engines), "B/engine")
+				b.ReportMetric(float64(full-empty)/float64(engines)/cachedBlocks, "B/block")
+				runtime.KeepAlive(view)
+			}
+		})
+	}
+}
+
+func cacheEvents(count int) []lwtrouter.CacheEvent {
+	events := make([]lwtrouter.CacheEvent, count)
+	for i := range events {
+		events[i] = lwtrouter.CacheEvent{Sequence: int64(i) + 1, Prefix: uint64(i) << 16}
+	}
+	return events
+}
+
+func heap() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
--- a/io/lwtdaemon/router_poll.go
+++ b/io/lwtdaemon/router_poll.go
@@ -21,6 +21,9 @@
 	// cacheInterval is the time between two reads of an engine's cache events.
 	cacheInterval = time.Second
 	pollsAtOnce   = 16
+	// callsPerTick bounds the calls to 24 a second, which is what a fleet of 12
+	// engines needs and about half of a daemon's 17 KB/s for control.
+	callsPerTick = 6
 )
 
 // routerPoll keeps the routing view fresh where no answers do: it polls the
@@ -51,18 +54,47 @@
 // String names the part in logs.
 func (poll *routerPoll) String() string { return "router-poll" }
 
+// tick makes the calls that are due, those due longest first. What exceeds
+// callsPerTick waits for the next ticks.
 func (poll *routerPoll) tick(now time.Time) {
+	calls := poll.due(now)
+	slices.SortStableFunc(calls, func(a, b pollCall) int { return a.since.Compare(b.since) })
+	for _, call := range calls[:min(callsPerTick, len(calls))] {
+		if call.cache {
+			poll.read[call.address] = now
+			poll.submit(call.engine, func() { poll.cache(call.engine, call.address) })
+		} else {
+			poll.polled[call.address] = now
+			poll.submit(call.engine, func() { poll.load(call.engine, call.address) })
+		}
+	}
+}
+
+// pollCall is one call to an engine that is due.
+type pollCall struct {
+	engine, address string
+	// cache says that the call reads cache events and not the load.
+	cache bool
+	// since is the time of the last answer or call of the same kind.
+	since time.Time
+}
+
+func (poll *routerPoll) due(now time.Time) []pollCall {
+	var calls []pollCall
 	for _, status := range poll.router.statuses(now) {
-		name, address := status.Name, status.Declared.Address
-		if now.Sub(status.ReportedAt) >= pollAge && now.Sub(poll.polled[address]) >= pollAge {
-			poll.polled[address] = now
-			poll.submit(name, func() { poll.load(name, address) })
+		call := pollCall{engine: status.Name, address: status.Declared.Address, since: poll.polled[status.Declared.Address]}
+		if status.ReportedAt.After(call.since) {
+			call.since = status.ReportedAt
+		}
+		if now.Sub(call.since) >= pollAge {
+			calls = append(calls, call)
 		}
-		if now.Sub(poll.read[address]) >= cacheInterval {
-			poll.read[address] = now
-			poll.submit(name, func() { poll.cache(name, address) })
+		call.cache, call.since = true, poll.read[call.address]
+		if now.Sub(call.since) >= cacheInterval {
+			calls = append(calls, call)
 		}
 	}
+	return calls
 }
 
 func (poll *routerPoll) submit(engine string, call func()) {
--- a/io/lwtdaemon/router_test.go
+++ b/io/lwtdaemon/router_test.go
@@ -18,7 +18,7 @@
 )
 
 // runEngine serves a stand-in engine on loopback and returns its address.
-func runEngine(t *testing.T, name string) string {
+func runEngine(t testing.TB, name string) string {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
--- a/io/lwtstandin/engine.go
+++ b/io/lwtstandin/engine.go
@@ -189,7 +189,9 @@
 
 // start adds a stream. Starting a stream that exists returns the existing one,
 // so that a repeated request runs once.
-func (engine *Engine) start(request completionRequest, id string, priority int) (*engineStream, error) {
+func (engine *Engine) start(
+	request completionRequest, prefixes []uint64, id string, priority int,
+) (*engineStream, error) {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
 	if stream, found := engine.streams[id]; found {
@@ -200,6 +202,8 @@
 	}
 	stream := newEngineStream(id, request, priority)
 	stream.stamp = engine.options.Stamp
+	// Before the stream can be prefilled, what is cached of its prompt is left out.
+	stream.promptLeft = max(1, stream.promptTokens-engine.cache.use(prefixes))
 	engine.streams[id] = stream
 	engine.waiting = append(engine.waiting, stream)
 	engine.started++
--- a/io/lwtstandin/engine_cache.go
+++ b/io/lwtstandin/engine_cache.go
@@ -84,15 +84,6 @@
 	return lwtrouter.Prefixes(request.Model, request.Messages)
 }
 
-// reuse shortens the prefill of a new stream by what is cached of its prompt.
-func (engine *Engine) reuse(stream *engineStream, prefixes []uint64) {
-	engine.mutex.Lock()
-	defer engine.mutex.Unlock()
-	if stream.promptLeft == stream.promptTokens {
-		stream.promptLeft = max(1, stream.promptTokens-engine.cache.use(prefixes))
-	}
-}
-
 func (engine *Engine) handleCacheEvents(ctx *fasthttp.RequestCtx) {
 	after, err := strconv.ParseInt(string(ctx.QueryArgs().Peek("after")), 10, 64)
 	if err != nil {
--- a/io/lwtstandin/engine_http.go
+++ b/io/lwtstandin/engine_http.go
@@ -75,12 +75,12 @@
 		return
 	}
 	priority, _ := strconv.Atoi(string(ctx.Request.Header.Peek("Engine-Priority")))
-	stream, err := engine.start(request, string(ctx.Request.Header.Peek("Engine-Request")), priority)
+	prefixes := requestPrefixes(ctx.PostBody())
+	stream, err := engine.start(request, prefixes, string(ctx.Request.Header.Peek("Engine-Request")), priority)
 	if err != nil {
 		refuse(ctx, fasthttp.StatusServiceUnavailable, err)
 		return
 	}
-	engine.reuse(stream, requestPrefixes(ctx.PostBody()))
 	engine.writeStream(ctx, stream, 0)
 }
 
