--- a/io/lwtdaemon/relay_bench_test.go
+++ b/io/lwtdaemon/relay_bench_test.go
@@ -40,7 +40,7 @@
 	client  *http.Client
 }
 
-func newRelayFleet(b *testing.B, step time.Duration) *relayFleet {
+func newRelayFleet(b *testing.B, step, apart time.Duration) *relayFleet {
 	b.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	b.Cleanup(stop)
@@ -60,7 +60,10 @@
 		options.Stamp, options.StepTime, options.MaxRunning, options.PrefillRate = true, step, relayStreams, 1e9
 		engine, listener := lwtstandin.NewEngine(options, 1), listen(b)
 		go func() { _ = engine.Serve(listener) }()
-		go func() { _ = engine.Run(ctx) }()
+		go func() {
+			time.Sleep(time.Duration(i) * apart)
+			_ = engine.Run(ctx)
+		}()
 		fleet.engines = append(fleet.engines, listener.Addr().String())
 		change.Engines = append(change.Engines, lwtstate.Engine{
 			Name: options.Name, Address: listener.Addr().String(), Role: lwtstate.RoleMixed, Models: []string{"m"},
@@ -198,24 +201,36 @@
 }
 
 // BenchmarkRelayDelay compares 1,000 streams at 50 tokens/s each read straight
-// from the engines with the same streams read through one daemon.
+// from the engines with the same streams read through one daemon. Engines that
+// step together send their events in bursts of 1,000.
 func BenchmarkRelayDelay(b *testing.B) {
-	fleet := newRelayFleet(b, 20*time.Millisecond)
-	for b.Loop() {
-		direct, relayed := fleet.run(b, false), fleet.run(b, true)
-		for _, quantile := range []float64{50, 99} {
-			added := relayed.first.ValueAtQuantile(quantile) - direct.first.ValueAtQuantile(quantile)
-			b.ReportMetric(float64(added)/1e3, fmt.Sprintf("added-first-p%g-us", quantile))
-			added = relayed.other.ValueAtQuantile(quantile) - direct.other.ValueAtQuantile(quantile)
-			b.ReportMetric(float64(added)/1e3, fmt.Sprintf("added-between-p%g-us", quantile))
+	const step = 20 * time.Millisecond
+	for name, apart := range map[string]time.Duration{"steps=together": 0, "steps=spread": step / relayEngines} {
+		b.Run(name, func(b *testing.B) {
+			fleet := newRelayFleet(b, step, apart)
+			for b.Loop() {
+				reportDelays(b, fleet.run(b, false), fleet.run(b, true))
+			}
+		})
+	}
+}
+
+func reportDelays(b *testing.B, direct, relayed *delays) {
+	for _, quantile := range []float64{50, 99} {
+		report := func(name string, nanoseconds int64) {
+			b.ReportMetric(float64(nanoseconds)/1e3, fmt.Sprintf("%s-p%g-us", name, quantile))
 		}
+		report("direct-first", direct.first.ValueAtQuantile(quantile))
+		report("direct-between", direct.other.ValueAtQuantile(quantile))
+		report("added-first", relayed.first.ValueAtQuantile(quantile)-direct.first.ValueAtQuantile(quantile))
+		report("added-between", relayed.other.ValueAtQuantile(quantile)-direct.other.ValueAtQuantile(quantile))
 	}
 }
 
 // BenchmarkRelayThroughput reads 1,000 streams through one daemon as fast as
 // the engines, the daemon and the client in this process can go.
 func BenchmarkRelayThroughput(b *testing.B) {
-	fleet := newRelayFleet(b, time.Microsecond)
+	fleet := newRelayFleet(b, time.Microsecond, 0)
 	for b.Loop() {
 		direct, relayed := fleet.run(b, false), fleet.run(b, true)
 		b.ReportMetric(float64(relayed.tokens)/relayed.took.Seconds(), "tokens/s")
