--- a/core/lwtmix/run.go
+++ b/core/lwtmix/run.go
@@ -94,7 +94,7 @@
 	}
 	for i := range arrivals {
 		run.jobs[i] = job{
-			arrival: &arrivals[i], daemon: arrivals[i].Daemon, priority: lwtrouter.Priority(arrivals[i].Class),
+			arrival: &arrivals[i], daemon: arrivals[i].Daemon, priority: arrivals[i].Class.Priority(),
 		}
 	}
 	return run
--- a/core/lwtrouter/naive_test.go
+++ b/core/lwtrouter/naive_test.go
@@ -101,7 +101,7 @@
 	}
 	speed := chunk / (rates.StepBase.Seconds() + streams*rates.StepPerStream.Seconds() + chunk/rates.PrefillRate)
 	tokens := 0.0
-	for level := lwtrouter.Priority(request.Class); level < lwtrouter.Priorities; level++ {
+	for level := request.Class.Priority(); level < lwtrouter.Priorities; level++ {
 		tokens += float64(engine.report.WaitingTokens[level]) + engine.tokens[level]
 	}
 	elapsed := min(1, max(0, now.Sub(engine.report.TakenAt).Seconds()))
@@ -278,7 +278,7 @@
 func (naive *naive) sent(now time.Time, request lwtrouter.Request, choice lwtrouter.Choice) {
 	blocks := float64(request.PromptTokens+request.OutputTokens) / lwtrouter.BlockTokens
 	prefill := happening{
-		engine: choice.Engine, sentAt: now, level: lwtrouter.Priority(request.Class), stored: request.Prefixes,
+		engine: choice.Engine, sentAt: now, level: request.Class.Priority(), stored: request.Prefixes,
 		tokens: float64(request.PromptTokens - choice.CachedTokens),
 	}
 	if !choice.Split() {
--- a/core/lwtrouter/queue.go
+++ b/core/lwtrouter/queue.go
@@ -34,6 +34,6 @@
 // WithFirstToken learns from the time that a request took to its first token
 // after it was sent.
 func (view *View) WithFirstToken(request Request, choice Choice, took time.Duration) *View {
-	view.queues.learn(Priority(request.Class), choice.wait, max(0, took.Seconds()-choice.work))
+	view.queues.learn(request.Class.Priority(), choice.wait, max(0, took.Seconds()-choice.work))
 	return view
 }
--- a/core/lwtrouter/score.go
+++ b/core/lwtrouter/score.go
@@ -55,7 +55,7 @@
 }
 
 func (view *View) newJob(now time.Time, request *Request) job {
-	priority := Priority(request.Class)
+	priority := request.Class.Priority()
 	return job{
 		request: request, now: now.UnixNano(), prompt: float64(request.PromptTokens),
 		output: float64(request.OutputTokens), priority: priority, queueFactor: view.queues.of(priority),
--- a/core/lwtrouter/view.go
+++ b/core/lwtrouter/view.go
@@ -92,7 +92,7 @@
 	}
 	blocks := float64(request.PromptTokens+request.OutputTokens) / BlockTokens
 	work := sentWork{
-		at: at, priority: Priority(request.Class),
+		at: at, priority: request.Class.Priority(),
 		tokens: max(0, float64(request.PromptTokens-choice.CachedTokens)),
 	}
 	if !choice.Split() {
@@ -167,20 +167,6 @@
 	return nil
 }
 
-// Priority orders the classes at an engine; a higher one goes first.
-func Priority(class lwtstate.Class) int {
-	switch class {
-	case lwtstate.ClassLookup, lwtstate.ClassOrder:
-		return 3
-	case lwtstate.ClassChat:
-		return 2
-	case lwtstate.ClassMatch:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // Status is what a view knows of one engine, for the planner and for reports.
 type Status struct {
 	Name     string
--- a/core/lwtstate/object.go
+++ b/core/lwtstate/object.go
@@ -80,6 +80,20 @@
 	ClassLookup Class = "lookup"
 )
 
+// Priority orders the classes at an engine; a higher one goes first.
+func (class Class) Priority() int {
+	switch class {
+	case ClassLookup, ClassOrder:
+		return 3
+	case ClassChat:
+		return 2
+	case ClassMatch:
+		return 1
+	default:
+		return 0
+	}
+}
+
 // Engine declares one model engine.
 type Engine struct {
 	Name             string `json:"name"               toml:"name"`
--- a/io/lwtdaemon/lease.go
+++ b/io/lwtdaemon/lease.go
@@ -117,7 +117,8 @@
 	}
 	authority.mutex.Unlock()
 	for _, name := range names {
-		authority.update(groupMsg{group: name, order: lwtorder.Stop{}})
+		// Only the part's own goroutine changes the models.
+		authority.send(ctx, groupMsg{group: name, order: lwtorder.Stop{}})
 	}
 	for !authority.released() {
 		select {
--- a/io/lwtentry/completion.go
+++ b/io/lwtentry/completion.go
@@ -210,7 +210,7 @@
 		call.choice = choice
 		call.setAddress(state.Engines[choice.Engine].Address)
 		events, err := server.dependencies.Engines.Complete(call.engineAddress(), lwtengine.Call{
-			Stream: call.id, Priority: priority(call.request.Class), Body: call.body, Fresh: !call.repeatable(),
+			Stream: call.id, Priority: call.request.Class.Priority(), Body: call.body, Fresh: !call.repeatable(),
 		})
 		if err == nil {
 			call.placed = true
@@ -271,20 +271,6 @@
 	}
 }
 
-// priority orders the classes at an engine; a higher one goes first.
-func priority(class lwtstate.Class) int {
-	switch class {
-	case lwtstate.ClassLookup, lwtstate.ClassOrder:
-		return 3
-	case lwtstate.ClassChat:
-		return 2
-	case lwtstate.ClassMatch:
-		return 1
-	default:
-		return 0
-	}
-}
-
 func (server *Server) finish(call *completion, outcome string, err error) {
 	now := time.Now()
 	result := Result{
--- a/io/lwtpeer/network_test.go
+++ b/io/lwtpeer/network_test.go
@@ -99,6 +99,16 @@
 	}
 }
 
+// TestSilenceBound guards against options under which a silent connection is
+// noticed later than 3 s, or under which a slow frame counts as silence.
+func TestSilenceBound(t *testing.T) {
+	options := lwtpeer.DefaultOptions(lwtpeer.Identity{}, []byte(key), log.NewNopLogger())
+	if options.SilenceTimeout >= 3*time.Second || options.SilenceTimeout < 2*options.KeepAliveInterval {
+		t.Errorf("silence counts as lost after %s, keep-alives come every %s",
+			options.SilenceTimeout, options.KeepAliveInterval)
+	}
+}
+
 // TestSilentConnectionIsReplaced guards against messages that go into a
 // connection that has fallen silent for good while new ones work.
 func TestSilentConnectionIsReplaced(t *testing.T) {
--- a/io/lwtstandin/silent_relay.go
+++ b/io/lwtstandin/silent_relay.go
@@ -26,17 +26,11 @@
 	target   string
 	mutex    sync.Mutex
 	conns    []*relayedConn
-	// budget is the bytes that new connections pass on each way before they
-	// fall silent; negative means no bound.
-	budget    int64
-	direction Direction
 }
 
 type relayedConn struct {
 	caller, target net.Conn
 	silent         atomic.Uint32
-	left           atomic.Int64
-	direction      Direction
 }
 
 // NewSilentRelay returns a relay on a loopback port.
@@ -45,21 +39,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for relay: %w", err)
 	}
-	return &SilentRelay{listener: listener, target: target, budget: -1}, nil
+	return &SilentRelay{listener: listener, target: target}, nil
 }
 
 // Address returns where the relay listens (IP:port).
 func (relay *SilentRelay) Address() string { return relay.listener.Addr().String() }
 
-// SilenceAfter makes connections opened from now on fall silent after they
-// passed on a number of bytes, counted over both directions. A negative number
-// means that they don't.
-func (relay *SilentRelay) SilenceAfter(bytes int64, direction Direction) {
-	relay.mutex.Lock()
-	defer relay.mutex.Unlock()
-	relay.budget, relay.direction = bytes, direction
-}
-
 // Silence makes all open connections fall silent. New ones work.
 func (relay *SilentRelay) Silence(direction Direction) {
 	relay.mutex.Lock()
@@ -101,8 +86,7 @@
 func (relay *SilentRelay) add(caller, target net.Conn) *relayedConn {
 	relay.mutex.Lock()
 	defer relay.mutex.Unlock()
-	conn := &relayedConn{caller: caller, target: target, direction: relay.direction}
-	conn.left.Store(relay.budget)
+	conn := &relayedConn{caller: caller, target: target}
 	relay.conns = append(relay.conns, conn)
 	return conn
 }
@@ -116,21 +100,6 @@
 	return Direction(conn.silent.Load())&direction != 0
 }
 
-// count takes passed bytes off the budget and falls silent when it is used up.
-// It returns how many of the bytes still pass.
-func (conn *relayedConn) count(n int) int {
-	if conn.left.Load() < 0 {
-		return n
-	}
-	left := conn.left.Add(-int64(n))
-	if left > 0 {
-		return n
-	}
-	conn.left.Store(0)
-	conn.silent.Store(uint32(conn.direction))
-	return max(0, n+int(left))
-}
-
 func (conn *relayedConn) copy(to, from net.Conn, direction Direction) {
 	buffer := make([]byte, relayBufferBytes)
 	for {
@@ -144,11 +113,7 @@
 		if conn.isSilent(direction) {
 			continue
 		}
-		pass := conn.count(n)
-		if !conn.isSilent(direction) {
-			pass = n
-		}
-		if _, err := to.Write(buffer[:pass]); err != nil {
+		if _, err := to.Write(buffer[:n]); err != nil {
 			conn.close()
 			return
 		}
