Tell daemons' load to each other, and use the field's words

Cause: address answers place busy daemons last, but nothing told the load. Some comments used other words than the field: news for an update, wish for a requested role, sign of life for a keep-alive. Change: each daemon tells its requests per second in its digest, averaged over 2 s; comments and names use the usual terms.

--- a/core/lwtfleet/bench_test.go
+++ b/core/lwtfleet/bench_test.go
@@ -17,7 +17,7 @@
 
 const (
 	benchZones = 12
-	// settleTime lets the news of the start run out.
+	// settleTime lets the updates of the start run out.
 	settleTime = 90 * time.Second
 	steadyTime = 60 * time.Second
 	startTime  = 2 * time.Minute
--- a/core/lwtmember/model.go
+++ b/core/lwtmember/model.go
@@ -173,7 +173,7 @@
 	step.changed = step.now
 }
 
-// announce sends the news at once to a few members.
+// announce sends an update at once to a few members.
 func (step *step) announce() {
 	for _, address := range step.someLive(urgentMembers) {
 		step.send(address, KindDigest, Gossip{})
--- a/core/lwtmember/options.go
+++ b/core/lwtmember/options.go
@@ -13,7 +13,7 @@
 	SuspicionTime time.Duration
 	// PauseGap is the time between two ticks that shows a pause.
 	PauseGap time.Duration
-	// GossipInterval is the time between two messages that carry only news.
+	// GossipInterval is the time between two messages that carry only updates.
 	GossipInterval time.Duration
 	// ReconnectInterval is the time between two probes of members that are
 	// dead or that only the VM list names.
--- a/core/lwtmember/receive.go
+++ b/core/lwtmember/receive.go
@@ -6,7 +6,7 @@
 )
 
 // quietTime is the time without a change after which differing tables mean
-// that news was lost rather than under way.
+// that an update was lost rather than under way.
 const quietTime = 3 * time.Second
 
 // joinPageMembers is the number of records in each message to a joining
@@ -110,7 +110,7 @@
 		step.queue = step.queue.with(member)
 		return
 	}
-	// Pages go on without the wait for news under way.
+	// Pages go on without the wait for updates under way.
 	step.changed = changed
 }
 
@@ -128,7 +128,7 @@
 		step.refute(member)
 		step.announce()
 	case step.self.Supersedes(member):
-		// The sender missed the news about this daemon.
+		// The sender missed the update about this daemon.
 		step.queue = step.queue.with(step.self)
 	}
 }
@@ -140,7 +140,7 @@
 	}
 }
 
-// send sends a message with as much news as fits. A member that is thought
+// send sends a message with as many updates as fit. A member that is thought
 // not to be plainly alive is told so, so that it can refute it.
 func (step *step) send(to string, kind Kind, gossip Gossip) {
 	gossip.Number, gossip.Sum = step.number, step.Sum()
@@ -191,7 +191,7 @@
 	step.send(msg.From, KindDigest, Gossip{Want: true, WantAfter: step.syncCursor})
 }
 
-// gossip passes news on to random members between probes.
+// gossip passes updates on to random members between probes.
 func (step *step) gossip() {
 	if len(step.queue) == 0 || step.now.Before(step.nextGossip) {
 		return
--- a/core/lwtspread/fleet_test.go
+++ b/core/lwtspread/fleet_test.go
@@ -245,7 +245,7 @@
 // TestSuccessorNeverGoesBack guards against a daemon that starts during an
 // outage and acts on an older state than its predecessor at the same address
 // did. The predecessor ends as soon as it put a new ticket in force, while the
-// news of it is still on its way to some of its peers.
+// a message about it is still on its way to some of its peers.
 func TestSuccessorNeverGoesBack(t *testing.T) {
 	for seed := range uint64(40) {
 		fleet := newFleet(seed, 8)
--- a/core/lwtticket/script_test.go
+++ b/core/lwtticket/script_test.go
@@ -21,7 +21,7 @@
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // TestScripts guards against two operators who overwrite each other, against
-// tickets that take effect twice, and against wrong news of a ticket after the
+// tickets that take effect twice, and against wrong reports of a ticket after the
 // store fails. Each script steps submissions against a store; the transcript
 // adds each command and its answer.
 func TestScripts(t *testing.T) {
--- a/io/lwtclient/stream.go
+++ b/io/lwtclient/stream.go
@@ -14,7 +14,7 @@
 const (
 	completionsPath = "/v1/chat/completions"
 	// progressTimeout is the silence after which a stream's connection counts
-	// as lost. Daemons send a sign of life each second.
+	// as lost. Daemons send a keep-alive each second.
 	progressTimeout = 2500 * time.Millisecond
 	// resumeTime bounds the tries to take up a broken stream.
 	resumeTime  = 20 * time.Second
@@ -105,7 +105,7 @@
 }
 
 // read returns the data of the next event on the connection. An event without
-// an id reports a failure that the daemon could not mend.
+// an id reports a failure that the daemon could not recover from.
 func (stream *Stream) read() ([]byte, error) {
 	var id string
 	for stream.scanner.Scan() {
--- a/io/lwtdaemon/authority.go
+++ b/io/lwtdaemon/authority.go
@@ -103,7 +103,7 @@
 // String names the part in logs.
 func (authority *authority) String() string { return "authority" }
 
-// WantRole passes a role planner's wish on to the engine's group.
+// WantRole passes a role requested by the planner on to the engine's group.
 func (authority *authority) WantRole(ctx context.Context, engine string, role lwtstate.Role) {
 	state, _ := authority.declared.State()
 	authority.send(ctx, groupMsg{
--- a/io/lwtdaemon/burn.go
+++ b/io/lwtdaemon/burn.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -15,6 +16,8 @@
 type observer struct {
 	declared lwtentry.Declared
 	scope    tally.Scope
+	// requests counts the ends of all requests.
+	requests atomic.Int64
 	mutex    sync.Mutex
 	ledger   *lwtburn.Ledger
 	metrics  map[metricKey]requestMetrics
@@ -42,6 +45,7 @@
 
 // Observe implements lwtentry.Observer.
 func (observer *observer) Observe(now time.Time, result lwtentry.Result) {
+	observer.requests.Add(1)
 	state, _ := observer.declared.State()
 	outcome := lwtburn.Judge(state.Objectives[result.Class], lwtburn.Answer{
 		FirstToken: result.FirstToken,
--- a/io/lwtdaemon/drains.go
+++ b/io/lwtdaemon/drains.go
@@ -20,7 +20,7 @@
 	// drainRepeat is how often the holder of a lease repeats which engines it
 	// drains, as messages can be lost.
 	drainRepeat = 500 * time.Millisecond
-	// drainHeld is the time for which a peer's word holds without repetition.
+	// drainHeld is the time for which a peer's message holds without repetition.
 	drainHeld = 3 * time.Second
 )
 
--- a/io/lwtdaemon/join.go
+++ b/io/lwtdaemon/join.go
@@ -10,14 +10,21 @@
 	"lacewingtide/io/lwtloop"
 )
 
-// joinInterval is how often parts learn of changed members.
-const joinInterval = 200 * time.Millisecond
+const (
+	// joinInterval is how often parts learn of a changed state.
+	joinInterval = 200 * time.Millisecond
+	// loadInterval is the span over which the load that others learn is averaged.
+	loadInterval = 2 * time.Second
+)
 
 // join passes on what one part of the daemon knows and another one needs. Every
 // part works without it, alone.
 type join struct {
 	daemon *Daemon
 	number int64
+	// told is when the load was last told, and requests the count then.
+	told     time.Time
+	requests int64
 }
 
 // newJoin connects the parts of a daemon before it runs.
@@ -32,19 +39,32 @@
 
 // Serve implements suture.Service.
 func (join *join) Serve(ctx context.Context) error {
-	return lwtloop.Tick(ctx, joinInterval, func(time.Time) { join.pass() })
+	return lwtloop.Tick(ctx, joinInterval, join.pass)
 }
 
 // String names the part in logs.
 func (join *join) String() string { return "join" }
 
-func (join *join) pass() {
+func (join *join) pass(now time.Time) {
+	if span := now.Sub(join.told); span >= loadInterval {
+		join.tellLoad(now, span)
+	}
 	if state, _ := join.daemon.declared.State(); state.Number != join.number {
 		join.number = state.Number
 		join.daemon.members.SetNumber(state.Number)
 	}
 }
 
+// tellLoad tells other daemons the requests per second lately, by which address
+// answers spread callers.
+func (join *join) tellLoad(now time.Time, span time.Duration) {
+	requests := join.daemon.observer.requests.Load()
+	if !join.told.IsZero() {
+		join.daemon.members.SetValue(loadKey, int64(float64(requests-join.requests)/span.Seconds()))
+	}
+	join.told, join.requests = now, requests
+}
+
 // runs returns the live daemons in the form in which leases name them.
 func (members *members) runs() []string {
 	var runs []string
--- a/io/lwtdaemon/planner.go
+++ b/io/lwtdaemon/planner.go
@@ -20,11 +20,11 @@
 	// sampleInterval and pastSamples bound the past demand that plans go by.
 	sampleInterval = 20 * time.Second
 	pastSamples    = 18
-	// wantedTime is the time after which a wish that had no effect is forgotten.
+	// wantedTime is the time after which a request that had no effect is forgotten.
 	wantedTime = 5 * time.Minute
 )
 
-// groupAuthority says which groups this daemon may change, and takes wishes.
+// groupAuthority says which groups this daemon may change, and takes requests for roles.
 type groupAuthority interface {
 	// Holds reports whether this daemon holds the lease of a group.
 	Holds(now time.Time, group string) bool
@@ -133,7 +133,7 @@
 	return engines
 }
 
-// follow returns the last wish for an engine, and whether it has come true.
+// follow returns the last role requested for an engine, and whether it runs in it.
 func (planner *planner) follow(now time.Time, status lwtrouter.Status) (wantedRole, bool) {
 	wanted, found := planner.wanted[status.Name]
 	if !found || wanted.done {
--- a/io/lwtdaemon/planner_test.go
+++ b/io/lwtdaemon/planner_test.go
@@ -13,7 +13,7 @@
 	"lacewingtide/io/lwtsetting"
 )
 
-// fakeAuthority holds the leases of some groups and collects wishes.
+// fakeAuthority holds the leases of some groups and collects requests.
 type fakeAuthority struct {
 	held   map[string]bool
 	wanted map[string]lwtstate.Role
--- a/io/lwtengine/client_test.go
+++ b/io/lwtengine/client_test.go
@@ -53,7 +53,7 @@
 					event := "id: " + request.Header.Get("Engine-Request") + "/0\ndata: [DONE]\n\n"
 					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(event), event)
 					if i+1 == answers {
-						return // closes the idle connection without a word
+						return // closes the idle connection without an answer
 					}
 				}
 			}()
--- a/io/lwtengine/stream.go
+++ b/io/lwtengine/stream.go
@@ -18,7 +18,7 @@
 	Stream string
 	Offset uint64
 	Data   []byte
-	// Alive says that the event is only a sign of life of the engine.
+	// Alive says that the event is only a keep-alive of the engine.
 	Alive bool
 }
 
@@ -31,7 +31,7 @@
 	stream   string
 	// long holds a line that exceeds the reader's buffer.
 	long []byte
-	// alive is set by a comment, which engines send as a sign of life.
+	// alive is set by a comment, which engines send as a keep-alive.
 	alive bool
 }
 
--- a/io/lwtentry/relay.go
+++ b/io/lwtentry/relay.go
@@ -95,7 +95,7 @@
 	}
 }
 
-// receive returns the next event to deliver, or the engine's sign of life. It
+// receive returns the next event to deliver, or the engine's keep-alive. It
 // takes up a broken stream.
 func (relay *relay) receive() (lwtengine.Event, error) {
 	for {
--- a/io/lwtpeer/options.go
+++ b/io/lwtpeer/options.go
@@ -25,7 +25,7 @@
 	// MaxBackoff bounds the wait between two dials of one address.
 	MaxBackoff time.Duration
 	// MaxDials bounds the dials in progress, and the hellos in progress of
-	// those who dial, so that many peers that return together cause no storm.
+	// those who dial, so that many peers that return together do not overload the daemon.
 	MaxDials int
 	// MaxQueue bounds the messages that wait for one peer.
 	MaxQueue int
--- a/io/lwtsetting/setting.go
+++ b/io/lwtsetting/setting.go
@@ -39,7 +39,7 @@
 	// Keep is the time for which callers may keep an answer.
 	Keep lwtstate.Duration `toml:"keep"`
 	// Drain is the time for which a leaving daemon goes on serving. It must
-	// exceed Keep by the time that the news of leaving takes.
+	// exceed Keep by the time that other daemons take to learn of the departure.
 	Drain lwtstate.Duration `toml:"drain"`
 }
 
--- a/io/lwtstandin/silent_relay.go
+++ b/io/lwtstandin/silent_relay.go
@@ -20,7 +20,7 @@
 const relayBufferBytes = 4 << 10
 
 // SilentRelay passes TCP connections on to a target. When it is silenced, the
-// connections stay open but their bytes, and the news of a close, are lost.
+// connections stay open but their bytes, and the end of the stream, are lost.
 type SilentRelay struct {
 	listener net.Listener
 	target   string
