Count calls to services in the burn report

Cause: only completions reached the burn ledger, so the objectives of orders and lookups could not burn. Change: the entry server reports the end of each call to a service, also of one that a limit refused: as a lookup if the service declares it idempotent, else as an order.

--- a/io/lwtentry/server.go
+++ b/io/lwtentry/server.go
@@ -204,13 +204,34 @@
 		writeError(ctx, errService)
 		return
 	}
-	release, err := server.dependencies.Limiter.Take(time.Now(), caller)
+	began := time.Now()
+	release, err := server.dependencies.Limiter.Take(began, caller)
 	if err != nil {
 		writeError(ctx, rejectionError(err))
-		return
+	} else {
+		defer release()
+		server.dependencies.Services.Forward(ctx, server.ids.next(), caller, service, "/"+path)
+	}
+	server.observeService(ctx, caller, service, "/"+path, began)
+}
+
+// observeService tells the end of a call to a service: an idempotent one counts
+// as a lookup, another one as an order.
+func (server *Server) observeService(
+	ctx *fasthttp.RequestCtx, caller lwtstate.Caller, service lwtstate.Service, path string, began time.Time,
+) {
+	now := time.Now()
+	result := Result{
+		Caller: caller.Name, Class: lwtstate.ClassOrder, Whole: now.Sub(began),
+		Outcome: string(ctx.Response.Header.Peek(HeaderOutcome)),
+	}
+	if service.IsIdempotent(string(ctx.Method()), path) {
+		result.Class = lwtstate.ClassLookup
+	}
+	if result.Outcome == "" {
+		result.Outcome = OutcomeDone
 	}
-	defer release()
-	server.dependencies.Services.Forward(ctx, server.ids.next(), caller, service, "/"+path)
+	server.dependencies.Observer.Observe(now, result)
 }
 
 func (server *Server) log(id, event string, keyvals ...any) {
