--- a/io/lwtentry/completion.go
+++ b/io/lwtentry/completion.go
@@ -116,6 +116,11 @@
 	if failure != nil {
 		return nil, failure
 	}
+	if class == lwtstate.ClassOrder && len(ctx.Request.Header.Peek("Idempotency-Key")) > 0 {
+		answer := invalidField("Idempotency-Key",
+			"completions are not claimed by key; send the order to a service, or without a key")
+		return nil, &answer
+	}
 	return &completion{
 		id:     id,
 		caller: caller,
--- a/io/lwtentry/service_test.go
+++ b/io/lwtentry/service_test.go
@@ -62,3 +62,21 @@
 		t.Errorf("observed %q, want %q", parts.results, want)
 	}
 }
+
+// TestOrderCompletionWithKeyIsRefused guards against a caller that relies on a
+// key to run a completion once, although completions are not claimed.
+func TestOrderCompletionWithKeyIsRefused(t *testing.T) {
+	state := lwtstate.New().WithChange(lwtstate.Change{Number: 1, Models: []lwtstate.Model{{Name: "m", Version: "1"}}})
+	server := New(Dependencies{Logger: log.NewNopLogger()})
+	for class, refused := range map[string]bool{"order": true, "chat": false} {
+		ctx := &fasthttp.RequestCtx{}
+		ctx.Request.Header.SetMethod("POST")
+		ctx.Request.Header.Set("Idempotency-Key", "k1")
+		ctx.Request.Header.Set("Lacewingtide-Class", class)
+		ctx.Request.SetBodyString(`{"model":"m","messages":[{"role":"user","content":"two prisms"}]}`)
+		_, failure := server.newCompletion(ctx, state, lwtstate.Caller{Models: []string{"m"}}, "id")
+		if (failure != nil) != refused || refused && (failure.Outcome != OutcomeNotRun || failure.Param != "Idempotency-Key") {
+			t.Errorf("class %s: %+v", class, failure)
+		}
+	}
+}
