Run a resumed request anew under a name of its own, and read Lacewingtide-Deadline

When an engine dies, the first daemon may run the request again on another engine under the same name; the caller resumes at a second daemon, which joined that stream, and the first daemon then cancelled it because its caller had gone. The header Lacewingtide-Deadline was in the design and never read. Change: a request that another daemon runs anew gets a name of its own, and its seed follows from the first name, so that the answer stays the same. A caller's own deadline for the whole answer is checked at admission. A cancel that reaches an engine after the caller resumed the same stream there still ends it; the second daemon then runs it anew.

--- a/core/lwtadmission/admission.go
+++ b/core/lwtadmission/admission.go
@@ -11,6 +11,9 @@
 	Class lwtstate.Class
 	// Waited is the time since the request arrived, as before a second attempt.
 	Waited time.Duration
+	// Deadline is the caller's own bound on the time to the whole answer, from
+	// the request's arrival; 0 for none.
+	Deadline time.Duration
 }
 
 // Estimate is what a request is estimated to meet on the engine chosen for it.
@@ -84,8 +87,13 @@
 }
 
 // Decide admits a request whose estimate meets its deadlines, and otherwise
-// rejects it at once. A class without an objective is always admitted.
+// rejects it at once. A class without an objective has only the caller's own
+// deadline. A caller that asks for too little says nothing about the load, so
+// nothing is learned from that rejection.
 func (admission *Admission) Decide(_ time.Time, request Request, estimate Estimate) Verdict {
+	if excess := exceeds(lwtstate.Duration(request.Deadline), 1, request.Waited+estimate.Whole); excess > 0 {
+		return rejected("deadline", excess)
+	}
 	verdict := admission.decide(request, estimate)
 	admission.shares.learn(request.Class, verdict.Rejection == nil)
 	return verdict
--- a/core/lwtadmission/admission_test.go
+++ b/core/lwtadmission/admission_test.go
@@ -108,3 +108,17 @@
 		t.Errorf("longest %d, want 1000", got)
 	}
 }
+
+// TestCallersOwnDeadline guards against work that can't end by the caller's own
+// deadline and is run all the same.
+func TestCallersOwnDeadline(t *testing.T) {
+	request := lwtadmission.Request{Class: lwtstate.ClassPlan, Deadline: time.Second, Waited: 500 * time.Millisecond}
+	verdict := newAdmission().Decide(time.Time{}, request, lwtadmission.Estimate{Whole: 800 * time.Millisecond})
+	if verdict.Rejection == nil || verdict.Rejection.RetryAfter != 300*time.Millisecond {
+		t.Errorf("verdict %+v, want a rejection with 300ms to wait", verdict.Rejection)
+	}
+	verdict = newAdmission().Decide(time.Time{}, request, lwtadmission.Estimate{Whole: 400 * time.Millisecond})
+	if verdict.Rejection != nil {
+		t.Errorf("rejected: %v", verdict.Rejection)
+	}
+}
--- a/core/lwtrouter/router.go
+++ b/core/lwtrouter/router.go
@@ -23,6 +23,8 @@
 	OutputTokens int
 	// Prefixes are the hashes of the prompt's growing prefixes, one per block, shortest first.
 	Prefixes []uint64
+	// Deadline is the caller's own bound on the time to the whole answer; 0 for none.
+	Deadline time.Duration
 	// AvailabilityZone is the zone of the daemon that routes.
 	AvailabilityZone string
 }
--- a/io/lwtdaemon/router.go
+++ b/io/lwtdaemon/router.go
@@ -63,7 +63,9 @@
 	}
 	router.demand = router.demand.WithRequest(now, lwtplanner.Work(
 		float64(request.PromptTokens), float64(choice.CachedTokens), float64(request.OutputTokens)))
-	verdict := router.admission.Decide(now, lwtadmission.Request{Class: request.Class}, lwtadmission.Estimate{
+	verdict := router.admission.Decide(now, lwtadmission.Request{
+		Class: request.Class, Deadline: request.Deadline,
+	}, lwtadmission.Estimate{
 		FirstToken: choice.FirstToken, Whole: choice.Whole, BetweenTokens: choice.BetweenTokens, Full: choice.Full,
 	})
 	if verdict.Rejection != nil {
--- a/io/lwtentry/completion.go
+++ b/io/lwtentry/completion.go
@@ -116,6 +116,10 @@
 	if failure != nil {
 		return nil, failure
 	}
+	deadline, failure := requestDeadline(ctx)
+	if failure != nil {
+		return nil, failure
+	}
 	if class == lwtstate.ClassOrder && len(ctx.Request.Header.Peek("Idempotency-Key")) > 0 {
 		answer := invalidField("Idempotency-Key",
 			"completions are not claimed by key; send the order to a service, or without a key")
@@ -127,6 +131,7 @@
 		request: lwtrouter.Request{
 			Model:            body.Model,
 			Class:            class,
+			Deadline:         deadline,
 			PromptTokens:     body.promptTokens(),
 			OutputTokens:     body.outputTokens(),
 			Prefixes:         lwtrouter.Prefixes(body.Model, body.Messages),
@@ -188,6 +193,21 @@
 	return defaultOutputTokens
 }
 
+// requestDeadline returns the caller's bound on the whole answer, such as
+// "800ms"; 0 if it gives none.
+func requestDeadline(ctx *fasthttp.RequestCtx) (time.Duration, *APIError) {
+	text := string(ctx.Request.Header.Peek("Lacewingtide-Deadline"))
+	if text == "" {
+		return 0, nil
+	}
+	deadline, err := time.ParseDuration(text)
+	if err != nil || deadline <= 0 {
+		answer := invalidField("Lacewingtide-Deadline", "must be a time above 0, such as 800ms")
+		return 0, &answer
+	}
+	return deadline, nil
+}
+
 func requestClass(ctx *fasthttp.RequestCtx) (lwtstate.Class, *APIError) {
 	class := lwtstate.Class(ctx.Request.Header.Peek("Lacewingtide-Class"))
 	switch class {
--- a/io/lwtentry/relay.go
+++ b/io/lwtentry/relay.go
@@ -253,7 +253,7 @@
 		writeError(ctx, *failure)
 		return
 	}
-	server.newRelay(call, events, lwtstream.NewSequence(position.Stream, position.Offset)).stream(ctx)
+	server.newRelay(call, events, lwtstream.NewSequence(call.id, position.Offset)).stream(ctx)
 }
 
 // reopen finds the stream on its engine, or runs the request again.
@@ -275,5 +275,8 @@
 	if len(call.body) == 0 || !call.repeatable() {
 		return nil, &answer
 	}
+	// Another daemon may still run the request under its first name, and cancel
+	// that name because its caller has gone.
+	call.id = rerunName(call.id, server.ids.next())
 	return server.place(state, call)
 }
--- a/io/lwtentry/seed.go
+++ b/io/lwtentry/seed.go
@@ -7,8 +7,8 @@
 )
 
 // withSeed returns a copy of a request's body that has a seed. A caller that
-// gives none gets one that follows from the stream's name, so that every
-// engine that runs the request makes the same answer.
+// gives none gets one that follows from the name under which the request ran
+// first, so that every run makes the same answer.
 func withSeed(raw []byte, body completionBody, stream string) []byte {
 	open := bytes.IndexByte(raw, '{')
 	if body.Seed != nil || open < 0 {
@@ -16,7 +16,7 @@
 	}
 	digest := fnv.New32a()
 	// Writing to a hash never fails.
-	_, _ = digest.Write([]byte(stream))
+	_, _ = digest.Write([]byte(firstName(stream)))
 	seeded := make([]byte, 0, len(raw)+len(`"seed":4294967295,`))
 	seeded = append(seeded, raw[:open+1]...)
 	seeded = append(seeded, `"seed":`...)
--- a/io/lwtentry/service_test.go
+++ b/io/lwtentry/service_test.go
@@ -80,3 +80,32 @@
 		}
 	}
 }
+
+// TestDeadlineHeader guards against a caller's deadline that is ignored or
+// misread.
+func TestDeadlineHeader(t *testing.T) {
+	for text, want := range map[string]time.Duration{"": 0, "800ms": 800 * time.Millisecond, "0s": -1, "-1s": -1, "soon": -1} {
+		ctx := &fasthttp.RequestCtx{}
+		ctx.Request.Header.Set("Lacewingtide-Deadline", text)
+		deadline, failure := requestDeadline(ctx)
+		if failure != nil {
+			deadline = -1
+		}
+		if deadline != want {
+			t.Errorf("header %q: %s, want %s", text, deadline, want)
+		}
+	}
+}
+
+// TestRerunKeepsTheSeed guards against a request that runs anew under another
+// name with another seed, and so answers differently in the middle.
+func TestRerunKeepsTheSeed(t *testing.T) {
+	raw := []byte(`{"model":"m"}`)
+	again := rerunName(rerunName("d1-1", "d2-1"), "d3-1")
+	if got, want := withSeed(raw, completionBody{}, again), withSeed(raw, completionBody{}, "d1-1"); !slices.Equal(got, want) {
+		t.Errorf("rerun sends %s, first run %s", got, want)
+	}
+	if again == "d1-1" || again == rerunName("d1-1", "d2-1") {
+		t.Errorf("the rerun has the name of an earlier run: %s", again)
+	}
+}
