Read the declared state once for each routing decision, and drop what nothing uses

Cause: the read-through of the whole change found work done twice on the request path: each choice read the declared state again to look up the chosen engine, and each stream allocated a map for early events, which are rare. The option include_usage was decoded and kept but never used. Change: the state is passed on; the map is made for the first early event; the unused field is gone; the comments use the usual terms. Usage comes with the last event of an engine whether or not a caller asks for it, as before.

--- a/core/lwtadmission/admission.go
+++ b/core/lwtadmission/admission.go
@@ -88,8 +88,8 @@
 
 // Decide admits a request whose estimate meets its deadlines, and otherwise
 // rejects it at once. A class without an objective has only the caller's own
-// deadline. A caller that asks for too little says nothing about the load, so
-// nothing is learned from that rejection.
+// deadline; a rejection for that deadline does not change the admission of
+// others, as it does not depend on the load.
 func (admission *Admission) Decide(_ time.Time, request Request, estimate Estimate) Verdict {
 	if excess := exceeds(lwtstate.Duration(request.Deadline), 1, request.Waited+estimate.Whole); excess > 0 {
 		return rejected("deadline", excess)
--- a/core/lwtfault/clock.go
+++ b/core/lwtfault/clock.go
@@ -1,6 +1,6 @@
 // Package lwtfault runs claims and retries in virtual time: several daemons, a
 // table, shops and callers, with faults at every step. It measures the claims'
-// cost and checks the promises made to callers.
+// cost and checks the guarantees given to callers.
 package lwtfault
 
 import (
--- a/core/lwtfault/experiment.go
+++ b/core/lwtfault/experiment.go
@@ -138,7 +138,7 @@
 	return result
 }
 
-// judge checks the promises made to one request.
+// judge checks the guarantees given to one request.
 func (world *world) judge(trial *trial) {
 	if count := world.ran[trial.Key]; count > 1 {
 		world.breaks("order %s ran %d times", trial.Key, count)
--- a/io/lwtdaemon/router.go
+++ b/io/lwtdaemon/router.go
@@ -57,7 +57,7 @@
 	defer router.mutex.Unlock()
 	router.declare(state)
 	request.OutputTokens = router.lengths.Expected(request.Class, request.OutputTokens)
-	choice, err := router.pick(now, request)
+	choice, err := router.pick(now, state, request)
 	if err != nil {
 		return choice, err
 	}
@@ -76,21 +76,18 @@
 }
 
 // pick repeats the choice until it falls on an engine that is not drained.
-func (router *router) pick(now time.Time, request lwtrouter.Request) (lwtrouter.Choice, error) {
+func (router *router) pick(
+	now time.Time, state lwtstate.State, request lwtrouter.Request,
+) (lwtrouter.Choice, error) {
 	for {
 		choice, err := router.router.Pick(now, request)
-		if err != nil || !router.draining(router.engine(choice.Engine)) {
+		if err != nil || !router.draining(state.Engines[choice.Engine]) {
 			return choice, err
 		}
 		router.view.WithUnwanted(choice.Engine, true)
 	}
 }
 
-func (router *router) engine(name string) lwtstate.Engine {
-	state, _ := router.declared.State()
-	return state.Engines[name]
-}
-
 func (router *router) declare(state lwtstate.State) {
 	if state.Number == router.number {
 		return
--- a/io/lwtentry/completion.go
+++ b/io/lwtentry/completion.go
@@ -34,7 +34,6 @@
 	address atomic.Pointer[string]
 	body    []byte
 	stream  bool
-	usage   bool
 	began   time.Time
 	first   time.Time
 	release func()
@@ -60,9 +59,6 @@
 	Seed                *int64            `json:"seed"`
 	MaxTokens           *int              `json:"max_tokens"`
 	MaxCompletionTokens *int              `json:"max_completion_tokens"`
-	StreamOptions       struct {
-		IncludeUsage bool `json:"include_usage"`
-	} `json:"stream_options"`
 }
 
 func (server *Server) handleCompletion(ctx *fasthttp.RequestCtx, state lwtstate.State, caller lwtstate.Caller) {
@@ -140,7 +136,6 @@
 		// The request's buffer returns to a pool with ctx, which may end before a retry.
 		body:   withSeed(ctx.PostBody(), body, id),
 		stream: body.Stream,
-		usage:  body.StreamOptions.IncludeUsage,
 		began:  time.Now(),
 	}, nil
 }
--- a/io/lwtentry/relay.go
+++ b/io/lwtentry/relay.go
@@ -47,15 +47,13 @@
 }
 
 func (server *Server) newRelay(call *completion, events *lwtengine.Stream, sequence lwtstream.Sequence) *relay {
-	relay := &relay{
+	return &relay{
 		server:   server,
 		call:     call,
 		events:   events,
 		sequence: sequence,
 		signer:   lwtstream.NewSigner(server.dependencies.StreamKey, call.caller.Name),
-		held:     map[uint64][]byte{},
 	}
-	return relay
 }
 
 // callerGone ends the work of a caller that has disconnected, unless the work
@@ -135,6 +133,9 @@
 			if len(relay.held) == maxHeld {
 				return event, errGap
 			}
+			if relay.held == nil {
+				relay.held = map[uint64][]byte{}
+			}
 			relay.held[event.Offset] = bytes.Clone(event.Data)
 		default:
 			relay.dropped++
