Tell other daemons of prompts at once, and only what has changed

On the grown sites a daemon placed prompts by loads of the other daemons that were up to 248 ms old (31 daemons, 8 ms for each), while a prompt takes an engine for 10 to 30 ms and must be answered in 200 to 250 ms.

Now a daemon reports as soon as it has sent a prompt, with at least daemons/3000 s between two reports (10 ms at 31), other changes after four times that. A report holds the changes; the whole follows every 400 ms. A report is encoded once for all daemons. The decision is lwtplace.Reporter.

--- a/core/lwtplace/peer.go
+++ b/core/lwtplace/peer.go
@@ -26,13 +26,13 @@
 	seen   time.Time
 }
 
-// set notes what a daemon tells of a server. Told is false when it has sent nothing.
-func (peers *peerLoads) set(now time.Time, daemon string, load Load, told bool) {
+// set notes what a daemon has sent to the server, which may be nothing.
+func (peers *peerLoads) set(now time.Time, daemon string, load Load) {
 	at := slices.IndexFunc(*peers, func(peer peerLoad) bool { return peer.daemon == daemon })
 	switch {
-	case at < 0 && told:
+	case at < 0 && load != Load{}:
 		*peers = append(*peers, peerLoad{daemon: daemon, load: load, seen: now})
-	case at >= 0 && told:
+	case at >= 0 && load != Load{}:
 		(*peers)[at].load, (*peers)[at].seen = load, now
 	case at >= 0:
 		*peers = slices.Delete(*peers, at, at+1)
--- a/core/lwtplace/place_test.go
+++ b/core/lwtplace/place_test.go
@@ -123,7 +123,9 @@
 // TestPeersCount guards against daemons that each fill an engine alone.
 func TestPeersCount(t *testing.T) {
 	model := model(1, 1)
-	model.SetPeer(start, "other", map[string]lwtplace.Load{"prefill-0": {Reading: 80 * time.Millisecond}})
+	model.TakeReport(start, "other", lwtplace.Report{
+		Whole: true, Loads: map[string]lwtplace.Load{"prefill-0": {Reading: 80 * time.Millisecond}},
+	})
 	if choice, _ := model.Place(start, demand(long(1))); choice.Waiting != 80*time.Millisecond {
 		t.Errorf("waiting %s beside another daemon's 80ms", choice.Waiting)
 	}
--- /dev/null
+++ b/core/lwtplace/report.go
@@ -0,0 +1,70 @@
+package lwtplace
+
+import "time"
+
+// Report tells other daemons what one daemon has in work.
+type Report struct {
+	// Whole says that servers which are not named have no work of the daemon.
+	// Otherwise the load of those is as it was in the reports before.
+	Whole bool
+	// Loads holds the load by server id.
+	Loads map[string]Load
+}
+
+// wholeInterval is the time between two whole reports. It makes good the loss
+// of a report, and is shorter than peerLoadAge.
+const wholeInterval = 400 * time.Millisecond
+
+// Reporter makes the reports of one daemon: the changes since the last one, and
+// from time to time the whole. The zero value has reported nothing.
+type Reporter struct {
+	told  map[string]Load
+	whole time.Time
+}
+
+// Report returns what to tell now and how the reporter goes on. Loads is what the
+// daemon has in work, by server id, without idle servers. Due is false when the
+// other daemons know it already.
+func (reporter Reporter) Report(now time.Time, loads map[string]Load) (next Reporter, report Report, due bool) {
+	if now.Sub(reporter.whole) >= wholeInterval {
+		return Reporter{told: loads, whole: now}, Report{Whole: true, Loads: loads}, len(loads) > 0 || len(reporter.told) > 0
+	}
+	changes := map[string]Load{}
+	for id, load := range loads {
+		if reporter.told[id] != load {
+			changes[id] = load
+		}
+	}
+	for id := range reporter.told {
+		if _, found := loads[id]; !found {
+			changes[id] = Load{}
+		}
+	}
+	return Reporter{told: loads, whole: reporter.whole}, Report{Loads: changes}, len(changes) > 0
+}
+
+// Times between two reports. Each daemon reports to each other one, so they grow
+// with the fleet.
+//
+// The load they answer: prompts that come to all daemons at once and each take an
+// engine for tens of milliseconds. Until a daemon is told of a prompt, it sends
+// its own to the same engine, whose queue then passes the objective.
+const (
+	// reportsPerSecond bounds the reports that a daemon sends and takes: at about
+	// 35 us for each one sent and taken, a tenth of a core.
+	reportsPerSecond = 3000
+	// minReportInterval is about the time that a report takes to arrive.
+	minReportInterval = 2 * time.Millisecond
+	// endReports is how many times longer a change waits that adds no prompt. The
+	// other daemons then take an engine for fuller than it is, which is not as bad.
+	endReports = 4
+)
+
+// PromptReportInterval is the shortest time between two reports of which the
+// second tells of a prompt. Daemons is the number of live daemons.
+func PromptReportInterval(daemons int) time.Duration {
+	return max(time.Duration(daemons)*time.Second/reportsPerSecond, minReportInterval)
+}
+
+// ReportInterval is the time until a change that adds no prompt is told.
+func ReportInterval(daemons int) time.Duration { return endReports * PromptReportInterval(daemons) }
--- a/core/lwtplace/service.go
+++ b/core/lwtplace/service.go
@@ -98,10 +98,17 @@
 	return loads
 }
 
-// SetPeer notes the load that another daemon has sent to the servers.
-func (pool *Pool) SetPeer(now time.Time, daemon string, loads map[string]Load) {
+// TakeReport notes what another daemon has sent to the servers.
+func (pool *Pool) TakeReport(now time.Time, daemon string, report Report) {
+	if !report.Whole {
+		for id, load := range report.Loads {
+			if member, found := pool.members[id]; found {
+				member.peers.set(now, daemon, load)
+			}
+		}
+		return
+	}
 	for id, member := range pool.members {
-		load, told := loads[id]
-		member.peers.set(now, daemon, load, told)
+		member.peers.set(now, daemon, report.Loads[id])
 	}
 }
--- a/core/lwtplace/track.go
+++ b/core/lwtplace/track.go
@@ -134,10 +134,17 @@
 	return loads
 }
 
-// SetPeer notes the load that another daemon has sent to the engines.
-func (model *Model) SetPeer(now time.Time, daemon string, loads map[string]Load) {
+// TakeReport notes what another daemon has sent to the engines.
+func (model *Model) TakeReport(now time.Time, daemon string, report Report) {
+	if !report.Whole {
+		for id, load := range report.Loads {
+			if engine, found := model.engines[id]; found {
+				engine.peers.set(now, daemon, load)
+			}
+		}
+		return
+	}
 	for id, engine := range model.engines {
-		load, told := loads[id]
-		engine.peers.set(now, daemon, load, told)
+		engine.peers.set(now, daemon, report.Loads[id])
 	}
 }
--- a/io/lwtgateway/attempt.go
+++ b/io/lwtgateway/attempt.go
@@ -57,6 +57,7 @@
 	choice, start := call.place.choice, time.Now()
 	view := call.gateway.view
 	view.onEngines(call.service, func(model *lwtplace.Model) { model.ReadStarted(start, call.request, choice) })
+	call.gateway.exchange.promptSent()
 	handle, outcome, err := call.readPrompt()
 	now := time.Now()
 	took := now.Sub(start)
@@ -217,6 +218,9 @@
 				call.reading = true
 			}
 		})
+		if call.reading {
+			call.gateway.exchange.promptSent()
+		}
 		return
 	}
 	call.gateway.view.onPool(call.service, func(pool *lwtplace.Pool) { pool.Started(time.Now(), id) })
--- /dev/null
+++ b/io/lwtgateway/exchange.go
@@ -0,0 +1,192 @@
+package lwtgateway
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"lacewingtide/core/lwtplace"
+	"lacewingtide/io/lwtlog"
+	"lacewingtide/io/lwtpeer"
+)
+
+// loadKind is the kind of message that carries a loadMessage.
+const loadKind = "loads"
+
+// maxExchangePause is the longest time without a message while nothing changes.
+// Four of them are lost before a daemon counts as silent.
+const maxExchangePause = 500 * time.Millisecond
+
+// loadMessage tells other daemons what this one has in work.
+type loadMessage struct {
+	daemonState
+	// Loads holds, by server, the time to read prompts in microseconds and the
+	// number of running requests.
+	Loads map[string][2]int64 `cbor:"3,keyasint,omitempty"`
+	// Whole says that a server which is not in Loads has no work of the sender.
+	// Otherwise its load has not changed.
+	Whole bool `cbor:"7,keyasint,omitempty"`
+}
+
+// daemonState is what a loadMessage tells beside the loads.
+type daemonState struct {
+	Ready bool `cbor:"1,keyasint"`
+	// Config is the version of the configuration in force.
+	Config int64 `cbor:"2,keyasint"`
+	// Ordering says that the sender holds the lease for orders. Changing then
+	// lists the engines whose stage is being changed.
+	Ordering bool     `cbor:"4,keyasint,omitempty"`
+	Changing []string `cbor:"5,keyasint,omitempty"`
+	// Entry is where callers send requests to the sender (IP:port).
+	Entry string `cbor:"6,keyasint,omitempty"`
+}
+
+func (state daemonState) equal(other daemonState) bool {
+	return state.Ready == other.Ready && state.Config == other.Config && state.Ordering == other.Ordering &&
+		state.Entry == other.Entry && slices.Equal(state.Changing, other.Changing)
+}
+
+// exchange tells the other daemons what this one has in work. It is safe for
+// concurrent use.
+type exchange struct {
+	// prompt has an element when a prompt was sent to an engine since the last
+	// message.
+	prompt chan struct{}
+
+	mutex    sync.Mutex
+	network  *lwtpeer.Network
+	reporter lwtplace.Reporter
+	state    daemonState
+	sent     time.Time
+}
+
+func newExchange() *exchange { return &exchange{prompt: make(chan struct{}, 1)} }
+
+// promptSent has the other daemons told soon.
+func (exchange *exchange) promptSent() {
+	select {
+	case exchange.prompt <- struct{}{}:
+	default:
+	}
+}
+
+// open returns the connections to other daemons, or nil before there are any.
+func (exchange *exchange) open() *lwtpeer.Network {
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	return exchange.network
+}
+
+// await waits until a message may be due. It reports false when ctx ends first.
+func (exchange *exchange) await(ctx context.Context, daemons int) bool {
+	if !pause(ctx, lwtplace.PromptReportInterval(daemons)) {
+		return false
+	}
+	timer := time.NewTimer(lwtplace.ReportInterval(daemons) - lwtplace.PromptReportInterval(daemons))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-exchange.prompt:
+	case <-timer.C:
+	}
+	return true
+}
+
+// message returns what to tell now. Due is false when the other daemons know it.
+func (exchange *exchange) message(now time.Time, state daemonState, loads map[string]lwtplace.Load) (message loadMessage, due bool) {
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	next, report, due := exchange.reporter.Report(now, loads)
+	if !due && state.equal(exchange.state) && now.Sub(exchange.sent) < maxExchangePause {
+		return loadMessage{}, false
+	}
+	exchange.reporter, exchange.state, exchange.sent = next, state, now
+	message = loadMessage{daemonState: state, Loads: make(map[string][2]int64, len(report.Loads)), Whole: report.Whole}
+	for id, load := range report.Loads {
+		message.Loads[id] = [2]int64{load.Reading.Microseconds(), int64(load.Running)}
+	}
+	return message, true
+}
+
+// exchangeLoads tells the other daemons what this one has in work until ctx ends.
+func (gateway *Gateway) exchangeLoads(ctx context.Context, listener net.Listener) error {
+	key, err := gateway.peerKey(ctx)
+	if err != nil {
+		return err
+	}
+	network := gateway.openNetwork(key)
+	defer network.Close()
+	go func() {
+		// It ends when the listener is closed.
+		if err := network.Serve(listener); err != nil {
+			lwtlog.Warn(gateway.logger, "peers-not-accepted", "err", err)
+		}
+	}()
+	for gateway.exchange.await(ctx, len(gateway.members.live(time.Now()))) {
+		gateway.tellLoads()
+	}
+	return ctx.Err()
+}
+
+func (gateway *Gateway) openNetwork(key []byte) *lwtpeer.Network {
+	identity := lwtpeer.Identity{Name: gateway.settings.Name, Address: gateway.settings.PeerAddress, Boot: gateway.boot}
+	network := lwtpeer.New(lwtpeer.DefaultOptions(identity, key, gateway.logger))
+	network.SetDirectory(gateway.members)
+	network.HandleIdentity(loadKind, gateway.takeLoads)
+	network.HandleIdentity(serverKind, gateway.takeServers)
+	gateway.exchange.mutex.Lock()
+	defer gateway.exchange.mutex.Unlock()
+	gateway.exchange.network = network
+	return network
+}
+
+// tellLoads tells the other daemons what has changed.
+func (gateway *Gateway) tellLoads() {
+	network := gateway.exchange.open()
+	if network == nil {
+		return
+	}
+	message, due := gateway.exchange.message(time.Now(), gateway.daemonState(), gateway.view.loads())
+	if !due {
+		return
+	}
+	// A daemon that misses the message is told the whole before long.
+	dropped, err := network.Broadcast(loadKind, message)
+	if err != nil {
+		lwtlog.Warn(gateway.logger, "loads-not-told", "err", err)
+	}
+	gateway.metrics.CountBy("loads-not-sent", dropped)
+}
+
+func (gateway *Gateway) daemonState() daemonState {
+	config, _ := gateway.view.configuration()
+	state := daemonState{Ready: gateway.serving(), Config: config.Version, Entry: gateway.settings.EntryAddress}
+	state.Ordering, state.Changing = gateway.orders.state()
+	return state
+}
+
+func (gateway *Gateway) takeLoads(from lwtpeer.Identity, body []byte) {
+	var message loadMessage
+	if err := lwtpeer.Decode(body, &message); err != nil {
+		lwtlog.Warn(gateway.logger, "loads-ignored", "daemon", from.Name, "err", err)
+		return
+	}
+	now := time.Now()
+	if gateway.members.hear(now, from, message.Entry, message.Ready) {
+		gateway.logJoined(from.Name, from.Boot, message.Entry, "message")
+	}
+	if config, _ := gateway.view.configuration(); message.Config > config.Version {
+		gateway.catchUp()
+	}
+	report := lwtplace.Report{Whole: message.Whole, Loads: make(map[string]lwtplace.Load, len(message.Loads))}
+	for id, load := range message.Loads {
+		report.Loads[id] = lwtplace.Load{Reading: time.Duration(load[0]) * time.Microsecond, Running: int(load[1])}
+	}
+	gateway.view.takeReport(now, from.Name, report)
+	if message.Ordering {
+		gateway.view.setChanging(message.Changing)
+	}
+}
--- a/io/lwtgateway/gateway.go
+++ b/io/lwtgateway/gateway.go
@@ -20,7 +20,6 @@
 	"lacewingtide/io/lwthttp"
 	"lacewingtide/io/lwtlog"
 	"lacewingtide/io/lwtmetric"
-	"lacewingtide/io/lwtpeer"
 )
 
 // Gateway is one entry daemon.
@@ -41,6 +40,7 @@
 	boot      uint64
 	members   *members
 	orders    *orders
+	exchange  *exchange
 
 	// serverRows holds the newest version of each server's row that was seen. It
 	// is used under the lock of the view.
@@ -49,7 +49,6 @@
 	catchingUp atomic.Bool
 
 	mutex   sync.Mutex
-	network *lwtpeer.Network
 	leaving leave
 }
 
@@ -83,6 +82,7 @@
 	})
 	gateway.members = newMembers(settings, gateway.boot)
 	gateway.orders = newOrders(gateway)
+	gateway.exchange = newExchange()
 	return gateway, nil
 }
 
--- a/io/lwtgateway/members.go
+++ b/io/lwtgateway/members.go
@@ -1,30 +1,20 @@
 package lwtgateway
 
 import (
-	"context"
-	"crypto/rand"
 	"encoding/json"
 	"fmt"
-	"net"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"lacewingtide/core/lwtlease"
-	"lacewingtide/core/lwtplace"
-	"lacewingtide/io/lwtlog"
 	"lacewingtide/io/lwtpeer"
 	"lacewingtide/platform"
 )
 
-// Tables and keys of the daemon's own rows.
-const (
-	memberTable = "daemons"
-	secretTable = "secrets"
-	peerKeyRow  = "peer-key"
-	peerKeySize = 32
-)
+// memberTable holds a row for each daemon.
+const memberTable = "daemons"
 
 // Times of membership.
 const (
@@ -39,12 +29,6 @@
 	memberRowAge = 4 * time.Second
 	// memberSilence is how long a daemon that has exchanged loads may be silent.
 	memberSilence = 2 * time.Second
-	// exchangePerMember is the time between two messages, for each live daemon:
-	// the messages that a daemon handles do not grow with the fleet.
-	exchangePerMember = 8 * time.Millisecond
-	minExchange       = 25 * time.Millisecond
-	// maxExchangePause is the longest time without a message while nothing changes.
-	maxExchangePause = 500 * time.Millisecond
 )
 
 // member is another daemon, or this one, as its row tells.
@@ -205,230 +189,6 @@
 	return joined
 }
 
-// followMembers writes this daemon's row and reads those of all others.
-func (gateway *Gateway) followMembers(ctx context.Context) error {
-	for {
-		gateway.refreshMembers()
-		if !pause(ctx, gateway.members.interval()) {
-			return ctx.Err()
-		}
-	}
-}
-
-func (gateway *Gateway) refreshMembers() {
-	gateway.writeMember()
-	rows, _, err := gateway.store.Rows(memberTable, StoreTimeout)
-	if err != nil {
-		gateway.metrics.Count("members-not-read")
-		lwtlog.Debug(gateway.logger, "members-not-read", "err", err)
-		return
-	}
-	now := time.Now()
-	joined, broken := gateway.members.observe(now, rows)
-	for _, member := range joined {
-		gateway.logJoined(member.Name, member.Boot, member.Entry, "row")
-	}
-	for _, err := range broken {
-		lwtlog.Warn(gateway.logger, "daemon-row-ignored", "err", err)
-	}
-	gateway.memberCount(now)
-}
-
-func (gateway *Gateway) logJoined(name string, boot uint64, entry, source string) {
-	lwtlog.Info(gateway.logger, "daemon-joined", "daemon", name, "boot", boot, "entry", entry, "source", source)
-}
-
-func (gateway *Gateway) memberCount(now time.Time) {
-	live := gateway.members.live(now)
-	gateway.view.setDaemons(len(live))
-	gateway.orders.setMembers(live)
-}
-
-func (gateway *Gateway) writeMember() {
-	value, err := json.Marshal(gateway.members.nextBeat(gateway.serving()))
-	if err == nil {
-		err = gateway.store.Set(platform.Row{Table: memberTable, Key: gateway.settings.Name, Value: value}, StoreTimeout)
-	}
-	if err != nil {
-		gateway.metrics.Count("member-not-written")
-		lwtlog.Debug(gateway.logger, "member-not-written", "err", err)
-	}
-}
-
-// serving reports whether callers may use this daemon.
-func (gateway *Gateway) serving() bool {
-	return gateway.leaveState().start.IsZero() && gateway.view.ready()
-}
-
-// loadMessage tells other daemons what this one has in work.
-type loadMessage struct {
-	Ready bool `cbor:"1,keyasint"`
-	// Config is the version of the configuration in force.
-	Config int64 `cbor:"2,keyasint"`
-	// Loads holds, by server, the reading time in microseconds and the
-	// number of running requests.
-	Loads map[string][2]int64 `cbor:"3,keyasint,omitempty"`
-	// Ordering says that the sender holds the lease for orders. Changing then
-	// lists the engines whose stage is being changed.
-	Ordering bool     `cbor:"4,keyasint,omitempty"`
-	Changing []string `cbor:"5,keyasint,omitempty"`
-	// Entry is where callers send requests to the sender (IP:port).
-	Entry string `cbor:"6,keyasint,omitempty"`
-}
-
-const (
-	loadKind   = "loads"
-	serverKind = "servers"
-)
-
-// serverMessage tells of entries of backend servers that have changed.
-type serverMessage struct {
-	Rows []serverRow `cbor:"1,keyasint"`
-}
-
-type serverRow struct {
-	Key     string `cbor:"1,keyasint"`
-	Value   []byte `cbor:"2,keyasint,omitempty"`
-	Version int64  `cbor:"3,keyasint"`
-	Deleted bool   `cbor:"4,keyasint,omitempty"`
-}
-
-// tellServers tells the other daemons of changed entries, so that each of them
-// need not read the list often.
-func (gateway *Gateway) tellServers(rows []platform.Row) {
-	gateway.mutex.Lock()
-	network := gateway.network
-	gateway.mutex.Unlock()
-	if network == nil || len(rows) == 0 {
-		return
-	}
-	var message serverMessage
-	for _, row := range rows {
-		message.Rows = append(message.Rows, serverRow{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
-	}
-	for _, name := range gateway.members.Names() {
-		// A daemon that misses the message reads the list itself.
-		if err := network.Send(name, serverKind, message); err != nil {
-			gateway.metrics.Count("servers-not-told")
-		}
-	}
-}
-
-func (gateway *Gateway) takeServers(from lwtpeer.Identity, body []byte) {
-	var message serverMessage
-	if err := lwtpeer.Decode(body, &message); err != nil {
-		lwtlog.Warn(gateway.logger, "servers-ignored", "daemon", from.Name, "err", err)
-		return
-	}
-	rows := make([]platform.Row, 0, len(message.Rows))
-	for _, row := range message.Rows {
-		rows = append(rows, platform.Row{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
-	}
-	gateway.applyServers(time.Now(), rows, from.Name)
-}
-
-// exchangeLoads tells the other daemons what this one has in work.
-func (gateway *Gateway) exchangeLoads(ctx context.Context, listener net.Listener) error {
-	key, err := gateway.peerKey(ctx)
-	if err != nil {
-		return err
-	}
-	identity := lwtpeer.Identity{Name: gateway.settings.Name, Address: gateway.settings.PeerAddress, Boot: gateway.boot}
-	network := lwtpeer.New(lwtpeer.DefaultOptions(identity, key, gateway.logger))
-	network.SetDirectory(gateway.members)
-	network.HandleIdentity(loadKind, gateway.takeLoads)
-	network.HandleIdentity(serverKind, gateway.takeServers)
-	gateway.mutex.Lock()
-	gateway.network = network
-	gateway.mutex.Unlock()
-	go func() {
-		// It ends when the listener is closed.
-		if err := network.Serve(listener); err != nil {
-			lwtlog.Warn(gateway.logger, "peers-not-accepted", "err", err)
-		}
-	}()
-	defer network.Close()
-	var sent time.Time
-	var before string
-	for pause(ctx, gateway.exchangeInterval()) {
-		message := gateway.loadMessage()
-		text := fmt.Sprint(message)
-		if now := time.Now(); text != before || now.Sub(sent) >= maxExchangePause {
-			before, sent = text, now
-			gateway.sendLoads(network, message)
-		}
-	}
-	return ctx.Err()
-}
-
-func (gateway *Gateway) exchangeInterval() time.Duration {
-	return max(minExchange, time.Duration(len(gateway.members.live(time.Now())))*exchangePerMember)
-}
-
-func (gateway *Gateway) sendLoads(network *lwtpeer.Network, message loadMessage) {
-	for _, name := range gateway.members.Names() {
-		// A message that is lost is followed by the next one.
-		if err := network.Send(name, loadKind, message); err != nil {
-			gateway.metrics.Count("loads-not-sent")
-		}
-	}
-}
-
-func (gateway *Gateway) loadMessage() loadMessage {
-	config, _ := gateway.view.configuration()
-	message := loadMessage{
-		Ready: gateway.serving(), Config: config.Version, Loads: map[string][2]int64{}, Entry: gateway.settings.EntryAddress,
-	}
-	message.Ordering, message.Changing = gateway.orders.state()
-	for id, load := range gateway.view.loads() {
-		message.Loads[id] = [2]int64{load.Reading.Microseconds(), int64(load.Running)}
-	}
-	return message
-}
-
-func (gateway *Gateway) takeLoads(from lwtpeer.Identity, body []byte) {
-	var message loadMessage
-	if err := lwtpeer.Decode(body, &message); err != nil {
-		lwtlog.Warn(gateway.logger, "loads-ignored", "daemon", from.Name, "err", err)
-		return
-	}
-	now := time.Now()
-	if gateway.members.hear(now, from, message.Entry, message.Ready) {
-		gateway.logJoined(from.Name, from.Boot, message.Entry, "message")
-	}
-	if config, _ := gateway.view.configuration(); message.Config > config.Version {
-		gateway.catchUp()
-	}
-	loads := make(map[string]lwtplace.Load, len(message.Loads))
-	for id, load := range message.Loads {
-		loads[id] = lwtplace.Load{Reading: time.Duration(load[0]) * time.Microsecond, Running: int(load[1])}
-	}
-	gateway.view.setPeer(now, from.Name, loads)
-	if message.Ordering {
-		gateway.view.setChanging(message.Changing)
-	}
-}
-
-// peerKey returns the secret that daemons share. The first daemon writes it.
-func (gateway *Gateway) peerKey(ctx context.Context) ([]byte, error) {
-	for {
-		row, err := gateway.store.Row(secretTable, peerKeyRow, StoreTimeout)
-		if err == nil && row.Version == 0 {
-			key := make([]byte, peerKeySize)
-			// Read never fails.
-			_, _ = rand.Read(key)
-			row, _, err = gateway.store.Put(platform.Row{Table: secretTable, Key: peerKeyRow, Value: key}, StoreTimeout)
-		}
-		if err == nil && len(row.Value) == peerKeySize {
-			return row.Value, nil
-		}
-		lwtlog.Info(gateway.logger, "peer-key-not-read", "err", err)
-		if !pause(ctx, storeRetry) {
-			return nil, ctx.Err()
-		}
-	}
-}
-
 // holders names the live daemons as holders of leases.
 func holders(live []member) lwtlease.Members {
 	names := make([]string, 0, len(live))
--- a/io/lwtgateway/metrics.go
+++ b/io/lwtgateway/metrics.go
@@ -24,6 +24,11 @@
 // Count adds one to a counter.
 func (metrics *metrics) Count(name string) { metrics.scope.Counter(name).Inc(1) }
 
+// CountBy adds to a counter.
+func (metrics *metrics) CountBy(name string, count int) {
+	metrics.scope.Counter(name).Inc(int64(count))
+}
+
 // Observe adds a sample to a latency histogram.
 func (metrics *metrics) Observe(name string, took time.Duration) {
 	metrics.scope.Histogram(name+"-latency", metrics.buckets).RecordDuration(took)
--- /dev/null
+++ b/io/lwtgateway/peer_key.go
@@ -0,0 +1,36 @@
+package lwtgateway
+
+import (
+	"context"
+	"crypto/rand"
+
+	"lacewingtide/io/lwtlog"
+	"lacewingtide/platform"
+)
+
+// Where the secret of the connections between daemons is kept.
+const (
+	secretTable = "secrets"
+	peerKeyRow  = "peer-key"
+	peerKeySize = 32
+)
+
+// peerKey returns the secret that daemons share. The first daemon writes it.
+func (gateway *Gateway) peerKey(ctx context.Context) ([]byte, error) {
+	for {
+		row, err := gateway.store.Row(secretTable, peerKeyRow, StoreTimeout)
+		if err == nil && row.Version == 0 {
+			key := make([]byte, peerKeySize)
+			// Read never fails.
+			_, _ = rand.Read(key)
+			row, _, err = gateway.store.Put(platform.Row{Table: secretTable, Key: peerKeyRow, Value: key}, StoreTimeout)
+		}
+		if err == nil && len(row.Value) == peerKeySize {
+			return row.Value, nil
+		}
+		lwtlog.Info(gateway.logger, "peer-key-not-read", "err", err)
+		if !pause(ctx, storeRetry) {
+			return nil, ctx.Err()
+		}
+	}
+}
--- a/io/lwtgateway/shutdown.go
+++ b/io/lwtgateway/shutdown.go
@@ -49,13 +49,10 @@
 	grace := seconds(gateway.bounds.Load().GraceSeconds)
 	gateway.mutex.Lock()
 	gateway.leaving = leave{start: start, grace: grace}
-	network := gateway.network
 	gateway.mutex.Unlock()
 	open, busy := gateway.entry.Connections()
 	lwtlog.Info(gateway.logger, "daemon-leaving", "grace", grace, "connections", open, "busy", busy)
-	if network != nil {
-		gateway.sendLoads(network, gateway.loadMessage())
-	}
+	gateway.tellLoads()
 	gateway.orders.release()
 	go gateway.writeMember()
 	gateway.entry.Drain()
--- a/io/lwtgateway/view.go
+++ b/io/lwtgateway/view.go
@@ -246,15 +246,15 @@
 	}
 }
 
-// setPeer notes what another daemon has in work.
-func (view *view) setPeer(now time.Time, daemon string, loads map[string]lwtplace.Load) {
+// takeReport notes what another daemon has in work.
+func (view *view) takeReport(now time.Time, daemon string, report lwtplace.Report) {
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
 	for _, model := range view.engines {
-		model.SetPeer(now, daemon, loads)
+		model.TakeReport(now, daemon, report)
 	}
 	for _, pool := range view.services {
-		pool.SetPeer(now, daemon, loads)
+		pool.TakeReport(now, daemon, report)
 	}
 }
 
--- a/io/lwtpeer/network.go
+++ b/io/lwtpeer/network.go
@@ -113,14 +113,40 @@
 	if err != nil {
 		return err
 	}
+	if !network.queue(address, raw) {
+		return fmt.Errorf("%w: %s to %s", ErrDropped, kind, address)
+	}
+	return nil
+}
+
+// Broadcast queues a message to all live members and returns to how many of
+// them it could not be queued.
+func (network *Network) Broadcast(kind string, body any) (dropped int, err error) {
+	raw, err := encode(kind, body)
+	if err != nil {
+		return 0, err
+	}
+	network.mutex.RLock()
+	directory := network.directory
+	network.mutex.RUnlock()
+	for _, member := range directory.Names() {
+		if address, found := directory.Address(member); !found || !network.queue(address, raw) {
+			dropped++
+		}
+	}
+	return dropped, nil
+}
+
+// queue reports whether a message waits to be sent.
+func (network *Network) queue(address string, raw []byte) bool {
 	network.mutex.RLock()
 	link, found := network.links[address]
 	network.mutex.RUnlock()
 	if found && link.offer(raw) || !found && network.dialFor(address, raw) {
-		return nil
+		return true
 	}
 	network.counters.Dropped.Add(1)
-	return fmt.Errorf("%w: %s to %s", ErrDropped, kind, address)
+	return false
 }
 
 // Close ends all connections and dials.
--- a/io/lwtpeer/network_test.go
+++ b/io/lwtpeer/network_test.go
@@ -223,3 +223,20 @@
 	}
 	t.Fatal("it never came about")
 }
+
+// TestBroadcastReachesAllMembers guards against a member that is left out, and
+// against a member without an address that goes unnoticed.
+func TestBroadcastReachesAllMembers(t *testing.T) {
+	a, b, c := newNode(t, "a", key, nil), newNode(t, "b", key, nil), newNode(t, "c", key, nil)
+	a.SetDirectory(lwtpeer.Static{"b": b.address, "c": c.address})
+	if dropped, err := a.Broadcast("text", "one"); dropped != 0 || err != nil {
+		t.Errorf("%d dropped, error %v", dropped, err)
+	}
+	b.want(t, "a:one")
+	c.want(t, "a:one")
+	a.Close()
+	a.SetDirectory(lwtpeer.Static{"d": "127.0.0.1:1"})
+	if dropped, err := a.Broadcast("text", "two"); dropped != 1 || err != nil {
+		t.Errorf("%d dropped of one that cannot be reached, error %v", dropped, err)
+	}
+}
