Get a newer configuration from the daemon that tells of it

Now it asks the daemon that told of the version, at most every 200 ms, and gets the row as the store holds it. The store is read by the feed alone.

TestConfigurationFromOtherDaemons on the commit before: fails, the second daemon has not got the route after 8 s. After: passes.

--- a/io/lwtgateway/exchange.go
+++ b/io/lwtgateway/exchange.go
@@ -137,6 +137,8 @@
 	network.SetDirectory(gateway.members)
 	network.HandleIdentity(loadKind, gateway.takeLoads)
 	network.HandleIdentity(serverKind, gateway.takeServers)
+	network.HandleIdentity(configWantedKind, gateway.giveConfig)
+	network.HandleIdentity(configKind, gateway.takeConfig)
 	gateway.exchange.mutex.Lock()
 	defer gateway.exchange.mutex.Unlock()
 	gateway.exchange.network = network
@@ -179,7 +181,7 @@
 		gateway.logJoined(from.Name, from.Boot, message.Entry, "message")
 	}
 	if config, _ := gateway.view.configuration(); message.Config > config.Version {
-		gateway.catchUp()
+		gateway.catchUp(now, from.Name)
 	}
 	report := lwtplace.Report{Whole: message.Whole, Loads: make(map[string]lwtplace.Load, len(message.Loads))}
 	for id, load := range message.Loads {
--- a/io/lwtgateway/gateway.go
+++ b/io/lwtgateway/gateway.go
@@ -45,8 +45,9 @@
 	// serverRows holds the newest version of each server's row that was seen. It
 	// is used under the lock of the view.
 	serverRows map[string]int64
-	// catchingUp says that a newer configuration is being read.
-	catchingUp atomic.Bool
+	// askedConfig is when another daemon was last asked for its configuration, in
+	// nanoseconds since 1970.
+	askedConfig atomic.Int64
 
 	mutex   sync.Mutex
 	leaving leave
--- a/io/lwtgateway/store.go
+++ b/io/lwtgateway/store.go
@@ -131,7 +131,7 @@
 	table, _ := platform.ConfigRow()
 	follower := &follower{
 		gateway: gateway, table: table, wait: configWait,
-		read: gateway.readConfig, changed: gateway.readConfig, back: func(time.Time) {},
+		read: gateway.readConfigRows, changed: gateway.readConfigRows, back: func(time.Time) {},
 	}
 	return follower.follow(ctx, func() time.Duration {
 		daemons := len(gateway.members.live(time.Now()))
@@ -140,42 +140,6 @@
 	})
 }
 
-// catchUp reads the configuration because another daemon has a newer one.
-func (gateway *Gateway) catchUp() {
-	if !gateway.catchingUp.CompareAndSwap(false, true) {
-		return
-	}
-	started := gateway.background(func(context.Context) {
-		defer gateway.catchingUp.Store(false)
-		table, key := platform.ConfigRow()
-		row, err := gateway.store.Row(table, key, StoreTimeout)
-		if err != nil {
-			lwtlog.Info(gateway.logger, "configuration-not-caught-up", "err", err)
-			return
-		}
-		gateway.readConfig(time.Now(), []platform.Row{row})
-	})
-	if !started {
-		gateway.catchingUp.Store(false)
-	}
-}
-
-func (gateway *Gateway) readConfig(_ time.Time, rows []platform.Row) {
-	_, key := platform.ConfigRow()
-	for _, row := range rows {
-		if row.Key != key || row.Deleted {
-			continue
-		}
-		config, err := platform.DecodeConfig(row.Value)
-		if err != nil {
-			lwtlog.Warn(gateway.logger, "configuration-ignored", "row-version", row.Version, "err", err)
-			continue
-		}
-		applied := gateway.view.setConfig(config)
-		lwtlog.Info(gateway.logger, "configuration-read", "config", config.Version, "row-version", row.Version, "applied", applied)
-	}
-}
-
 // followServers keeps the list of backend servers.
 func (gateway *Gateway) followServers(ctx context.Context) error {
 	follower := &follower{
--- a/io/lwtgateway/view.go
+++ b/io/lwtgateway/view.go
@@ -9,6 +9,7 @@
 	"lacewingtide/core/lwtretry"
 	"lacewingtide/core/lwtroster"
 	"lacewingtide/core/lwtroute"
+	"lacewingtide/platform"
 )
 
 // view holds what the daemon knows and the decisions that depend on it. It is
@@ -20,15 +21,17 @@
 	// daemons is the number of live daemons, this one included.
 	daemons int
 
-	config   lwtroute.Config
-	known    bool
-	roster   lwtroster.Roster
-	listed   bool
-	engines  map[string]*lwtplace.Model
-	services map[string]*lwtplace.Pool
-	budgets  map[string]*lwtretry.Shared
-	byID     map[string]lwtroster.Server
-	byAddr   map[string]lwtroster.Server
+	config lwtroute.Config
+	known  bool
+	// configRow is the configuration in force as the store holds it.
+	configRow platform.Row
+	roster    lwtroster.Roster
+	listed    bool
+	engines   map[string]*lwtplace.Model
+	services  map[string]*lwtplace.Pool
+	budgets   map[string]*lwtretry.Shared
+	byID      map[string]lwtroster.Server
+	byAddr    map[string]lwtroster.Server
 }
 
 func newView(terms lwtplace.Terms, retry lwtretry.SharedTerms) *view {
@@ -39,14 +42,14 @@
 }
 
 // setConfig puts a configuration in force unless it is older than the one in
-// force. It reports whether it did.
-func (view *view) setConfig(config lwtroute.Config) bool {
+// force. It reports whether it did. Row is the configuration as the store holds it.
+func (view *view) setConfig(config lwtroute.Config, row platform.Row) bool {
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
 	if view.known && config.Version <= view.config.Version {
 		return false
 	}
-	view.config, view.known = config, true
+	view.config, view.known, view.configRow = config, true, row
 	view.rebuild()
 	return true
 }
@@ -58,6 +61,14 @@
 	return view.config, view.known
 }
 
+// configurationRow returns the configuration in force as the store holds it. Its
+// version is 0 before one is known.
+func (view *view) configurationRow() platform.Row {
+	view.mutex.Lock()
+	defer view.mutex.Unlock()
+	return view.configRow
+}
+
 // updateRoster changes the list of backend servers.
 func (view *view) updateRoster(update func(lwtroster.Roster) lwtroster.Roster) {
 	view.mutex.Lock()
--- a/io/lwtgateway/view_test.go
+++ b/io/lwtgateway/view_test.go
@@ -13,6 +13,7 @@
 	"lacewingtide/core/lwtretry"
 	"lacewingtide/core/lwtroster"
 	"lacewingtide/core/lwtroute"
+	"lacewingtide/platform"
 )
 
 func testView() *view {
@@ -32,7 +33,7 @@
 		applied bool
 		want    int64
 	}{{5, true, 5}, {3, false, 5}, {5, false, 5}, {9, true, 9}} {
-		applied := view.setConfig(testConfig(step.version))
+		applied := view.setConfig(testConfig(step.version), platform.Row{})
 		if config, known := view.configuration(); applied != step.applied || !known || config.Version != step.want {
 			t.Errorf("version %d: applied %v, in force %d", step.version, applied, config.Version)
 		}
@@ -43,7 +44,7 @@
 // connections to a server than it takes.
 func TestConnectionsAreShared(t *testing.T) {
 	view := testView()
-	view.setConfig(testConfig(1))
+	view.setConfig(testConfig(1), platform.Row{})
 	view.updateRoster(func(roster lwtroster.Roster) lwtroster.Roster {
 		return roster.WithEntry(lwtroster.Server{ID: "i", Service: "s", Address: "10.0.0.1:1"})
 	})
