Count a server's errors against it, and log the status that is delivered

The answer 500 of a server to a request that must not run twice is delivered, and counted as a success: the breaker of the server stayed closed, and because it answers fast it was the least loaded. The log line of such a request said status=0.

--- a/io/lwtgateway/call.go
+++ b/io/lwtgateway/call.go
@@ -35,6 +35,8 @@
 	// handle names the KV cache that a prefill engine holds for this request.
 	handle string
 	answer *lwthttp.Answer
+	// delivered is the status of the server's answer that the caller got whole.
+	delivered int
 	// running says that the request is counted at the server that runs it.
 	running bool
 	// reading says that the engine which runs the request still reads its prompt.
@@ -152,7 +154,7 @@
 // finish ends the request.
 func (call *call) finish(step lwtcourse.Step) {
 	call.freeHandle()
-	status := 0
+	status := call.delivered
 	switch step {
 	case lwtcourse.Refuse:
 		status = fasthttp.StatusServiceUnavailable
--- a/io/lwtgateway/deliver.go
+++ b/io/lwtgateway/deliver.go
@@ -26,12 +26,16 @@
 
 // deliver passes the server's answer on to the caller.
 func (call *call) deliver() any {
+	status := call.answer.Header.StatusCode()
 	message := call.passOn()
 	_, delivered := message.(lwtcourse.Delivered)
-	call.ended(!delivered && call.context.Err() == nil)
-	if !delivered {
+	if delivered {
+		call.delivered = status
+	} else {
 		call.excluded[call.place.server.ID] = true
 	}
+	// A server that answers with errors answers fast and would get ever more work.
+	call.ended(!delivered && call.context.Err() == nil || delivered && status >= fasthttp.StatusInternalServerError)
 	return message
 }
 
