Use generating engines with few runs for prompts, and round their number

Three of eleven engines generated (0.34 of them, cut down): 36 slots, while 41 chats ran at second 10 and 56 to 66 requests were counted there at seconds 18 to 22. Long prompts have the more urgent priority, so the engines stopped chats for them.

The number of generating engines is now rounded (four of eleven; 12 and 48 engines keep theirs). The prefill that this takes away comes back: an engine that generates reads a prompt beside up to five requests, one at a time, instead of only when it is idle. The engine that runs a prompt is chosen after its prefill, when it is known who became free.

--- a/core/lwtplace/place.go
+++ b/core/lwtplace/place.go
@@ -134,10 +134,11 @@
 }
 
 // readAtDecode has a decode engine read and run the request, when the prefill
-// engines have no room. It reads at half the speed, between the tokens of others.
+// engines have no room. It reads at half the speed, between the tokens of others,
+// so it takes one prompt at a time and only beside few runs.
 func (model *Model) readAtDecode(now time.Time, demand Demand, full Choice) (Choice, *Refusal) {
 	reader, choice := model.pickReader(now, demand, lwtroster.Decode)
-	if reader != nil && reader.running(now) == 0 && choice.Waiting == 0 && model.refuse(demand, choice) == nil {
+	if reader != nil && reader.running(now) <= spillRunning && choice.Waiting == 0 && model.refuse(demand, choice) == nil {
 		choice.Run, choice.Prefill, choice.Spilled = choice.Prefill, lwtroster.Server{}, true
 		return choice, nil
 	}
@@ -154,6 +155,9 @@
 	// runQueue is the number of requests for each slot beyond which a decode
 	// engine takes no more.
 	runQueue = 2.2
+	// spillRunning is the number of requests on a decode engine up to which it
+	// reads a long prompt beside them. Each of their tokens waits for a piece of it.
+	spillRunning = 5
 	// runRetry is when to come back if the decode engines are full: a chat runs
 	// for some seconds.
 	runRetry = 400 * time.Millisecond
@@ -275,6 +279,15 @@
 	return otherwise
 }
 
+// ChooseRun chooses the engine that runs a request whose prompt has been read.
+// While it was read, which takes longer than most runs, others became free.
+func (model *Model) ChooseRun(now time.Time, demand Demand, choice Choice) Choice {
+	if run := model.leastRunning(now, demand, choice.Prefill.AvailabilityZone); run != nil {
+		choice.Run = run.server
+	}
+	return choice
+}
+
 // zonePenalty is the number of running requests for which an engine in another
 // availability zone is preferred.
 const zonePenalty = 3
--- a/core/lwtstage/stage.go
+++ b/core/lwtstage/stage.go
@@ -9,6 +9,7 @@
 package lwtstage
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -136,7 +137,7 @@
 
 // wanted returns how many engines should generate.
 func wanted(engines int) int {
-	return min(max(int(decodeShare*float64(engines)), minDecode), engines-1)
+	return min(max(int(math.Round(decodeShare*float64(engines))), minDecode), engines-1)
 }
 
 // orders changes as many engines as the wanted number asks for, those first
--- a/io/lwtgateway/attempt.go
+++ b/io/lwtgateway/attempt.go
@@ -75,14 +75,24 @@
 		call.excluded[choice.Prefill.ID] = true
 		return call.failure(outcome, "prefill", err)
 	}
+	call.handle = handle
+	call.chooseRun(now)
 	call.gateway.metrics.Observe("prefill", took)
 	lwtlog.Info(call.gateway.logger, "prefill-ended", "request", call.request.ID, "took", took.Round(time.Microsecond),
 		"waiting", choice.Waiting.Round(time.Microsecond), "reading", choice.Reading.Round(time.Microsecond), "server", choice.Prefill.ID,
 		"tokens", call.request.PromptTokens, "shared", call.request.SharedTokens(), "cached", choice.Cached)
-	call.handle = handle
 	return lwtcourse.Prefilled{}
 }
 
+// chooseRun chooses the engine that runs the request by what is known now.
+func (call *call) chooseRun(now time.Time) {
+	demand := lwtplace.Demand{Request: call.request, Excluded: call.excluded}
+	call.gateway.view.onEngines(call.service, func(model *lwtplace.Model) {
+		call.place.choice = model.ChooseRun(now, demand, call.place.choice)
+	})
+	call.place.server = call.place.choice.Run
+}
+
 func (call *call) readPrompt() (handle string, outcome lwtretry.Outcome, err error) {
 	server := call.place.choice.Prefill
 	head := call.headFor(server.ID, call.gateway.wire.AppendPrefill)
