--- a/core/lwtcourse/course.go
+++ b/core/lwtcourse/course.go
@@ -17,7 +17,7 @@
 	// maxPlacements bounds the choices of servers, so that a service whose
 	// servers are all gone fails at once.
 	maxPlacements = 4
-	// maxPrefills bounds the engines that are asked to read a prompt.
+	// maxPrefills bounds the engines that are asked to prefill a prompt.
 	maxPrefills = 2
 	// minTimeLeft is the least time for which a request is sent to a server.
 	// Below it no answer can come back in time.
@@ -34,7 +34,7 @@
 const (
 	// Place asks for a choice of servers, to be answered by Placed or NoRoom.
 	Place Step = iota
-	// Prefill asks the chosen prefill engine to read the prompt, to be answered
+	// Prefill asks the chosen prefill engine to prefill the prompt, to be answered
 	// by Prefilled or Failed.
 	Prefill
 	// Run sends the request to the chosen server, to be answered by Answered
--- a/core/lwtcourse/message.go
+++ b/core/lwtcourse/message.go
@@ -8,7 +8,7 @@
 )
 
 // Placed answers Place: servers were chosen. Prefill says that a prefill engine
-// reads the prompt before the request runs.
+// prefills the prompt before the request runs.
 type Placed struct{ Prefill bool }
 
 // NoRoom answers Place: no server can take the request now. RetryAfter is when
@@ -18,7 +18,7 @@
 	RetryAfter time.Duration
 }
 
-// Prefilled answers Prefill: the prompt was read.
+// Prefilled answers Prefill: the prompt is prefilled.
 type Prefilled struct{}
 
 // Answered answers Run: the server's answer has begun.
@@ -77,7 +77,7 @@
 	return course, Stop
 }
 
-// prefill has a prompt read. Only the first reading is not a repeat.
+// prefill has a prompt prefilled. Only the first time is not a repeat.
 func (course Course) prefill(now time.Time) (Course, Step) {
 	if course.prefills > 0 && !course.repeats.Take(now) {
 		return course.give(badGateway, course.reason+"-no-budget")
@@ -102,7 +102,7 @@
 		}
 		return course.place(now)
 	case message.NotRun && course.memory:
-		// The handle may be gone: the same server can still read the prompt.
+		// The handle may be gone: the same server can still prefill the prompt.
 		course.reason, course.direct, course.memory = "refused-with-memory", true, false
 		if !course.repeats.Take(now) {
 			return course.give(badGateway, "refused-with-memory-no-budget")
--- a/core/lwtplace/changing.go
+++ b/core/lwtplace/changing.go
@@ -18,7 +18,7 @@
 // Busy reports whether any engine has work.
 func (model *Model) Busy(now time.Time) bool {
 	for _, engine := range model.order {
-		if engine.reading(now) > 0 || engine.running(now) > 0 {
+		if engine.prefillLeft(now) > 0 || engine.running(now) > 0 {
 			return true
 		}
 	}
--- a/core/lwtplace/engine.go
+++ b/core/lwtplace/engine.go
@@ -3,7 +3,7 @@
 //
 // The load it answers: prompts of thousands of tokens of which two thirds are
 // shared by many requests, answers of a few tokens, and bursts of several
-// times what the engines can read. A prompt whose shared parts are cached costs
+// times what the engines can prefill. A prompt whose shared parts are cached costs
 // a third of one whose parts are not, so prompts with the same parts go to the
 // same engine as long as its queue allows. Under overload a queue that grows
 // makes every answer late; refusing early keeps the answers that are given in time.
@@ -34,9 +34,9 @@
 	changing bool
 }
 
-// reading returns the time that the engine needs for the prompts sent to it.
-func (engine *engine) reading(now time.Time) time.Duration {
-	return engine.own.Reading + engine.peers.sum(now).Reading
+// prefillLeft returns the time that the engine needs for the prompts sent to it.
+func (engine *engine) prefillLeft(now time.Time) time.Duration {
+	return engine.own.PrefillTime + engine.peers.sum(now).PrefillTime
 }
 
 // running returns the requests that generate tokens on the engine.
--- a/core/lwtplace/peer.go
+++ b/core/lwtplace/peer.go
@@ -7,8 +7,8 @@
 
 // Load is the work that a daemon has sent to one server and that has not ended.
 type Load struct {
-	// Reading is the estimated time to read the prompts.
-	Reading time.Duration
+	// PrefillTime is the estimated time to prefill the prompts.
+	PrefillTime time.Duration
 	// Running is the number of requests that run.
 	Running int
 }
@@ -44,7 +44,7 @@
 	var total Load
 	for i := range peers {
 		if now.Sub(peers[i].seen) < peerLoadAge {
-			total.Reading += peers[i].load.Reading
+			total.PrefillTime += peers[i].load.PrefillTime
 			total.Running += peers[i].load.Running
 		}
 	}
--- a/core/lwtplace/place.go
+++ b/core/lwtplace/place.go
@@ -12,7 +12,7 @@
 type Terms struct {
 	// AvailabilityZone is the daemon's own.
 	AvailabilityZone string
-	// TokenTime is how long a prefill engine reads one token, before any is measured.
+	// TokenTime is how long a prefill engine needs for one token, before any is measured.
 	TokenTime time.Duration
 }
 
@@ -24,7 +24,7 @@
 	engines map[string]*engine
 	// order holds the engines sorted by id.
 	order []*engine
-	// tokenTime is the measured time to read one token, in seconds.
+	// tokenTime is the measured time to prefill one token, in seconds.
 	tokenTime float64
 	// hitShare is the share of shared tokens found in memory where they are
 	// expected.
@@ -62,17 +62,18 @@
 
 // Choice is where a generation runs.
 type Choice struct {
-	// Prefill reads the prompt. Its id is empty when Run reads it itself.
+	// Prefill is the engine that prefills the prompt. Its id is empty when Run does
+	// it itself.
 	Prefill lwtroster.Server
 	// Run generates the tokens.
 	Run lwtroster.Server
-	// Reading is the estimated time to read the prompt, without waiting.
-	Reading time.Duration
+	// PrefillTime is the estimated time to prefill the prompt, without waiting.
+	PrefillTime time.Duration
 	// Waiting is the estimated time until the prompt's turn.
 	Waiting time.Duration
 	// Cached says that the shared parts are expected to be in memory.
 	Cached bool
-	// Spilled says that a decode engine reads the prompt because no prefill
+	// Spilled says that a decode engine prefills the prompt because no prefill
 	// engine has room.
 	Spilled bool
 }
@@ -84,7 +85,7 @@
 	Left time.Duration
 	// End is the time left until the caller gives up.
 	End time.Duration
-	// Direct asks for an engine that reads and runs the request.
+	// Direct asks for an engine that both prefills and runs the request.
 	Direct bool
 	// Holder is the engine that holds the prompt's KV cache; then only an engine
 	// that runs the request is needed. Its id is empty when none does.
@@ -111,16 +112,16 @@
 	if demand.Holder.ID != "" {
 		return Choice{Prefill: demand.Holder, Run: model.nearRun(now, demand, demand.Holder, run).server}, nil
 	}
-	uncached := model.readingTime(demand.Request.PromptTokens)
-	if demand.Direct || decodeSlowness*uncached <= directReading {
-		return Choice{Run: run.server, Reading: decodeSlowness * uncached}, nil
+	uncached := model.prefillTime(demand.Request.PromptTokens)
+	if demand.Direct || decodeSlowness*uncached <= directPrefill {
+		return Choice{Run: run.server, PrefillTime: decodeSlowness * uncached}, nil
 	}
-	reader, choice := model.pickReader(now, demand, lwtroster.Prefill)
-	if reader != nil && model.refuse(demand, choice) == nil {
-		choice.Run = model.nearRun(now, demand, reader.server, run).server
+	prefill, choice := model.pickPrefill(now, demand, lwtroster.Prefill)
+	if prefill != nil && model.refuse(demand, choice) == nil {
+		choice.Run = model.nearRun(now, demand, prefill.server, run).server
 		return choice, nil
 	}
-	return model.readAtDecode(now, demand, choice)
+	return model.prefillAtDecode(now, demand, choice)
 }
 
 // refuseRun refuses a request when the engine with the fewest has so many that
@@ -133,12 +134,12 @@
 	return &Refusal{Reason: "decode-engines-full", RetryAfter: runRetry}
 }
 
-// readAtDecode has a decode engine read and run the request, when the prefill
-// engines have no room. It reads at half the speed, between the tokens of others,
-// so it takes one prompt at a time and only beside few runs.
-func (model *Model) readAtDecode(now time.Time, demand Demand, full Choice) (Choice, *Refusal) {
-	reader, choice := model.pickReader(now, demand, lwtroster.Decode)
-	if reader != nil && reader.running(now) <= spillRunning && choice.Waiting == 0 && model.refuse(demand, choice) == nil {
+// prefillAtDecode has a decode engine prefill and run the request, when the
+// prefill engines have no room. It prefills at half the speed, between the tokens
+// of others, so it takes one prompt at a time and only beside few runs.
+func (model *Model) prefillAtDecode(now time.Time, demand Demand, full Choice) (Choice, *Refusal) {
+	prefill, choice := model.pickPrefill(now, demand, lwtroster.Decode)
+	if prefill != nil && prefill.running(now) <= spillRunning && choice.Waiting == 0 && model.refuse(demand, choice) == nil {
 		choice.Run, choice.Prefill, choice.Spilled = choice.Prefill, lwtroster.Server{}, true
 		return choice, nil
 	}
@@ -147,23 +148,23 @@
 
 // Times of placement.
 const (
-	// directReading is the time to read a prompt up to which a decode engine
-	// reads it itself: less than a second hop and the transfer take.
-	directReading = 4 * time.Millisecond
-	// decodeSlowness is how much longer a decode engine reads a prompt.
+	// directPrefill is the time to prefill a prompt up to which a decode engine
+	// does it itself: less than a second hop and the transfer take.
+	directPrefill = 4 * time.Millisecond
+	// decodeSlowness is how much longer a decode engine prefills a prompt.
 	decodeSlowness = 2
 	// runQueue is the number of requests for each slot beyond which a decode
 	// engine takes no more.
 	runQueue = 2.2
 	// spillRunning is the number of requests on a decode engine up to which it
-	// reads a long prompt beside them. Each of their tokens waits for a piece of it.
+	// prefills a long prompt beside them. Each of their tokens waits for a piece of it.
 	spillRunning = 5
 	// runRetry is when to come back if the decode engines are full: a chat runs
 	// for some seconds.
 	runRetry = 400 * time.Millisecond
 	// noEngineRetry is when to come back if no engine is known.
 	noEngineRetry = 500 * time.Millisecond
-	// answerMargin is what passes between the end of the reading and the first
+	// answerMargin is what passes between the end of the prefill and the first
 	// event at the caller: the transfer, the first step, and two network hops.
 	answerMargin = 25 * time.Millisecond
 	// minRetry and maxRetry bound when refused callers come back.
@@ -177,7 +178,7 @@
 // late whatever is done waits no longer than leaves the queue to those that can
 // still be on time.
 func (model *Model) refuse(demand Demand, choice Choice) *Refusal {
-	total := choice.Waiting + choice.Reading + answerMargin
+	total := choice.Waiting + choice.PrefillTime + answerMargin
 	switch {
 	case total <= demand.Left:
 		return nil
@@ -187,15 +188,15 @@
 	return &Refusal{Reason: "engines-full", RetryAfter: min(max(choice.Waiting, minRetry), maxRetry)}
 }
 
-// readingTime returns how long a prefill engine reads tokens.
-func (model *Model) readingTime(tokens int) time.Duration {
+// prefillTime returns how long a prefill engine needs for tokens.
+func (model *Model) prefillTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) * model.tokenTime * float64(time.Second))
 }
 
-// pickReader chooses the engine of a stage on which the prompt is read first. A
+// pickPrefill chooses the engine of a stage on which the prompt is prefilled first. A
 // prompt whose parts are not cached also takes time from the prompts behind it,
-// so its reading counts more than its wait.
-func (model *Model) pickReader(now time.Time, demand Demand, stage lwtroster.Stage) (*engine, Choice) {
+// so its prefill counts more than its wait.
+func (model *Model) pickPrefill(now time.Time, demand Demand, stage lwtroster.Stage) (*engine, Choice) {
 	var best *engine
 	var choice Choice
 	var bestCost time.Duration
@@ -210,28 +211,28 @@
 		if cached {
 			tokens -= min(int(model.hitShare*float64(demand.Request.SharedTokens())), tokens)
 		}
-		reading := model.readingTime(tokens)
+		took := model.prefillTime(tokens)
 		if stage == lwtroster.Decode {
-			reading *= decodeSlowness
+			took *= decodeSlowness
 		}
-		waiting := engine.reading(now)
-		cost := waiting + missWeight*reading
+		waiting := engine.prefillLeft(now)
+		cost := waiting + missWeight*took
 		if engine.avoided(now) {
 			cost += avoidedCost
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = engine, cost
-			choice = Choice{Prefill: engine.server, Reading: reading, Waiting: waiting, Cached: cached}
+			choice = Choice{Prefill: engine.server, PrefillTime: took, Waiting: waiting, Cached: cached}
 		}
 	}
 	return best, choice
 }
 
 // firstHitShare is the share of shared tokens found in memory before any
-// reading is measured.
+// prefill is measured.
 const firstHitShare = 0.7
 
-// missWeight weighs the reading of a prompt against its wait.
+// missWeight weighs the prefill of a prompt against its wait.
 const missWeight = 16
 
 // home returns the engine of a stage where the parts of a prompt are kept. Key is the
@@ -272,15 +273,15 @@
 
 // nearRun prefers a decode engine in the availability zone of the prefill
 // engine, because a transfer between zones takes twice as long.
-func (model *Model) nearRun(now time.Time, demand Demand, reader lwtroster.Server, otherwise *engine) *engine {
-	if near := model.leastRunning(now, demand, reader.AvailabilityZone); near != nil {
+func (model *Model) nearRun(now time.Time, demand Demand, prefill lwtroster.Server, otherwise *engine) *engine {
+	if near := model.leastRunning(now, demand, prefill.AvailabilityZone); near != nil {
 		return near
 	}
 	return otherwise
 }
 
-// ChooseRun chooses the engine that runs a request whose prompt has been read.
-// While it was read, which takes longer than most runs, others became free.
+// ChooseRun chooses the engine that runs a request after its prefill, which
+// takes longer than most runs: other engines have become free meanwhile.
 func (model *Model) ChooseRun(now time.Time, demand Demand, choice Choice) Choice {
 	if run := model.leastRunning(now, demand, choice.Prefill.AvailabilityZone); run != nil {
 		choice.Run = run.server
--- a/core/lwtplace/place_test.go
+++ b/core/lwtplace/place_test.go
@@ -49,7 +49,7 @@
 	return lwtplace.Demand{Request: request, Left: 150 * time.Millisecond, End: 2 * time.Second}
 }
 
-// TestSamePartSameEngine guards against prompts with the same parts being read
+// TestSamePartSameEngine guards against prompts with the same parts being prefilled
 // on engines that have not got them, and against daemons that disagree.
 func TestSamePartSameEngine(t *testing.T) {
 	first, second := model(8, 4), model(8, 4)
@@ -112,7 +112,7 @@
 func TestRestartedEngineIsForgotten(t *testing.T) {
 	model := model(1, 1)
 	choice, _ := model.Place(start, demand(long(1)))
-	model.ReadStarted(start, long(1), choice)
+	model.PrefillStarted(start, long(1), choice)
 	servers := engines(1, 1)
 	servers[0].Started = start.Add(time.Second)
 	model.SetServers(kind, servers)
@@ -125,7 +125,7 @@
 func TestPeersCount(t *testing.T) {
 	model := model(1, 1)
 	model.TakeReport(start, "other", lwtplace.Report{
-		Whole: true, Loads: map[string]lwtplace.Load{"prefill-0": {Reading: 80 * time.Millisecond}},
+		Whole: true, Loads: map[string]lwtplace.Load{"prefill-0": {PrefillTime: 80 * time.Millisecond}},
 	})
 	if choice, _ := model.Place(start, demand(long(1))); choice.Waiting != 80*time.Millisecond {
 		t.Errorf("waiting %s beside another daemon's 80ms", choice.Waiting)
@@ -139,7 +139,7 @@
 const tokenTime = 3200 * time.Nanosecond
 
 // overload plays callers who ask for more than the engines can read, and counts
-// what they get. Each engine reads one prompt after another and keeps the parts.
+// what they get. Each engine prefills one prompt after another and keeps the parts.
 type overload struct {
 	model *lwtplace.Model
 	// parts holds which engine has which part in memory.
@@ -174,20 +174,20 @@
 			overload.refused++
 			continue
 		}
-		overload.model.ReadStarted(now, request, choice)
-		id := choice.Reader().ID
+		overload.model.PrefillStarted(now, request, choice)
+		id := choice.PrefillEngine().ID
 		begin := now
 		if free[id].After(now) {
 			begin = free[id]
 		}
-		free[id] = begin.Add(overload.readingTime(id, request))
+		free[id] = begin.Add(overload.prefillTime(id, request))
 		overload.events = append(overload.events, ending{at: free[id], choice: choice, request: request, arrived: now})
 	}
 	overload.finish(start.Add(span + time.Minute))
 }
 
-// readingTime is how long an engine reads a prompt: the shared parts only once.
-func (overload *overload) readingTime(id string, request lwtroute.Request) time.Duration {
+// prefillTime is how long an engine prefills a prompt: the shared parts only once.
+func (overload *overload) prefillTime(id string, request lwtroute.Request) time.Duration {
 	tokens := request.PromptTokens
 	if key := id + request.SharedKey(); overload.parts[key] {
 		tokens -= request.SharedTokens()
@@ -208,7 +208,7 @@
 			left = append(left, event)
 			continue
 		}
-		overload.model.ReadEnded(event.request, event.choice, event.at.Sub(event.arrived))
+		overload.model.PrefillEnded(event.request, event.choice, event.at.Sub(event.arrived))
 		if event.at.Sub(event.arrived) <= 125*time.Millisecond {
 			overload.onTime++
 		} else {
@@ -251,7 +251,7 @@
 	}
 }
 
-// TestFullDecodeEngines guards against prompts that are read although no engine
+// TestFullDecodeEngines guards against prompts that are prefilled although no engine
 // can run them.
 func TestFullDecodeEngines(t *testing.T) {
 	model := model(8, 2)
@@ -265,13 +265,13 @@
 	}
 }
 
-// TestHolderIsKept guards against a prompt that is read again although an
+// TestHolderIsKept guards against a prompt that is prefilled again although an
 // engine holds its memory.
 func TestHolderIsKept(t *testing.T) {
 	want := demand(long(1))
 	want.Holder = lwtroster.Server{ID: "prefill-3", AvailabilityZone: "z0"}
 	choice, refusal := model(8, 4).Place(start, want)
-	if refusal != nil || choice.Prefill.ID != "prefill-3" || choice.Run.Stage != lwtroster.Decode || choice.Reading != 0 {
+	if refusal != nil || choice.Prefill.ID != "prefill-3" || choice.Run.Stage != lwtroster.Decode || choice.PrefillTime != 0 {
 		t.Errorf("choice %+v, refusal %+v", choice, refusal)
 	}
 }
@@ -285,7 +285,7 @@
 	}{{0, true}, {5, true}, {6, false}} {
 		model := model(1, 1)
 		model.TakeReport(start, "other", lwtplace.Report{
-			Whole: true, Loads: map[string]lwtplace.Load{"prefill-0": {Reading: time.Second}, "decode-0": {Running: test.runs}},
+			Whole: true, Loads: map[string]lwtplace.Load{"prefill-0": {PrefillTime: time.Second}, "decode-0": {Running: test.runs}},
 		})
 		choice, refusal := model.Place(start, demand(long(1)))
 		if (refusal == nil) != test.spills {
@@ -297,9 +297,9 @@
 		if !choice.Spilled || choice.Run.ID != "decode-0" || choice.Prefill.ID != "" {
 			t.Errorf("beside %d runs: %+v", test.runs, choice)
 		}
-		model.ReadStarted(start, long(1), choice)
+		model.PrefillStarted(start, long(1), choice)
 		if _, refusal := model.Place(start, demand(long(2))); refusal == nil {
-			t.Errorf("a second prompt at an engine that reads one beside %d runs", test.runs)
+			t.Errorf("a second prompt at an engine that prefills one beside %d runs", test.runs)
 		}
 	}
 }
@@ -329,7 +329,7 @@
 }
 
 // TestRunIsChosenAfterPrefill guards against a run that is sent to an engine
-// which became full while the prompt was read.
+// which became full during the prefill.
 func TestRunIsChosenAfterPrefill(t *testing.T) {
 	model := model(2, 2)
 	want := demand(long(1))
--- a/core/lwtplace/report_test.go
+++ b/core/lwtplace/report_test.go
@@ -66,9 +66,9 @@
 		crowd.refused++
 		return
 	}
-	daemon.model.ReadStarted(now, request, choice)
+	daemon.model.PrefillStarted(now, request, choice)
 	daemon.prompted = true
-	id := choice.Reader().ID
+	id := choice.PrefillEngine().ID
 	tokens := request.PromptTokens
 	if key := id + request.SharedKey(); crowd.parts[key] {
 		tokens -= request.SharedTokens()
@@ -92,10 +92,10 @@
 			continue
 		case took <= 125*time.Millisecond:
 			crowd.onTime++
-			daemon.model.ReadEnded(event.request, event.choice, took)
+			daemon.model.PrefillEnded(event.request, event.choice, took)
 		default:
 			crowd.late++
-			daemon.model.ReadEnded(event.request, event.choice, took)
+			daemon.model.PrefillEnded(event.request, event.choice, took)
 		}
 	}
 	daemon.reading = left
@@ -146,10 +146,10 @@
 			now = now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "pause")) * time.Millisecond)
 			choice, refusal := sender.Place(now, demand(unshared))
 			if refusal == nil && rapid.Bool().Draw(t, "starts") {
-				sender.ReadStarted(now, unshared, choice)
+				sender.PrefillStarted(now, unshared, choice)
 				reading = append(reading, choice)
 			} else if len(reading) > 0 {
-				sender.ReadEnded(unshared, reading[0], 0)
+				sender.PrefillEnded(unshared, reading[0], 0)
 				reading = reading[1:]
 			}
 			next, report, due := reporter.Report(now, sender.Loads())
@@ -171,7 +171,7 @@
 // TestUnchangedLoadsStay guards against work that lasts and is forgotten by the
 // other daemons, which take silence for the end of it.
 func TestUnchangedLoadsStay(t *testing.T) {
-	loads := map[string]lwtplace.Load{"prefill-0": {Reading: 80 * time.Millisecond}}
+	loads := map[string]lwtplace.Load{"prefill-0": {PrefillTime: 80 * time.Millisecond}}
 	model, reporter := model(1, 1), lwtplace.Reporter{}
 	for now := start; now.Before(start.Add(5 * time.Second)); now = now.Add(100 * time.Millisecond) {
 		next, report, due := reporter.Report(now, loads)
--- a/core/lwtplace/track.go
+++ b/core/lwtplace/track.go
@@ -7,21 +7,21 @@
 	"lacewingtide/core/lwtroute"
 )
 
-// Reader returns the engine that reads the prompt.
-func (choice Choice) Reader() lwtroster.Server {
+// PrefillEngine returns the engine that prefills the prompt.
+func (choice Choice) PrefillEngine() lwtroster.Server {
 	if choice.Prefill.ID == "" {
 		return choice.Run
 	}
 	return choice.Prefill
 }
 
-// ReadStarted notes that a prompt was sent to the engine that reads it.
-func (model *Model) ReadStarted(now time.Time, request lwtroute.Request, choice Choice) {
-	engine, found := model.engines[choice.Reader().ID]
+// PrefillStarted notes that a prompt was sent to the engine that prefills it.
+func (model *Model) PrefillStarted(now time.Time, request lwtroute.Request, choice Choice) {
+	engine, found := model.engines[choice.PrefillEngine().ID]
 	if !found {
 		return
 	}
-	engine.own.Reading += choice.Reading
+	engine.own.PrefillTime += choice.PrefillTime
 	if key := request.SharedKey(); key != "" {
 		engine.parts[hash(key)] = now
 		engine.forget(now)
@@ -42,35 +42,35 @@
 	}
 }
 
-// Weights of the measured reading time.
+// Weights of the measured prefill time.
 const (
 	// tokenStep is the share by which a sample moves the time of a token.
 	tokenStep = 0.02
 	// hitWeight is the weight of a sample of the share found in memory.
 	hitWeight = 0.02
-	// minSampleTokens is the size from which a reading is measured; below it,
+	// minSampleTokens is the size from which a prefill is measured; below it,
 	// the network's share is too large.
 	minSampleTokens = 1000
-	// readingOverhead is what a reading takes beside the prompt's own time: two
+	// prefillOverhead is what a prefill takes beside the prompt's own time: two
 	// network hops and the end of the step that is running.
-	readingOverhead = 4 * time.Millisecond
+	prefillOverhead = 4 * time.Millisecond
 )
 
-// ReadEnded notes that the reading of a request has ended. Took is how long it
+// PrefillEnded notes that the prefill of a request has ended. Took is how long it
 // took, or zero when it failed.
-func (model *Model) ReadEnded(request lwtroute.Request, choice Choice, took time.Duration) {
-	engine, found := model.engines[choice.Reader().ID]
+func (model *Model) PrefillEnded(request lwtroute.Request, choice Choice, took time.Duration) {
+	engine, found := model.engines[choice.PrefillEngine().ID]
 	if !found {
 		return
 	}
-	engine.own.Reading = max(engine.own.Reading-choice.Reading, 0)
+	engine.own.PrefillTime = max(engine.own.PrefillTime-choice.PrefillTime, 0)
 	if took <= 0 {
 		return
 	}
 	engine.failures = 0
 	// Only what had no queue before it shows how long the prompt itself takes.
 	if choice.Waiting == 0 && choice.Prefill.ID != "" && request.PromptTokens >= minSampleTokens {
-		model.measure(request, choice, max(took-readingOverhead, 0).Seconds())
+		model.measure(request, choice, max(took-prefillOverhead, 0).Seconds())
 	}
 }
 
--- a/core/lwtstage/stage.go
+++ b/core/lwtstage/stage.go
@@ -1,4 +1,4 @@
-// Package lwtstage decides which engines read prompts and which generate tokens.
+// Package lwtstage decides which engines prefill prompts and which generate tokens.
 //
 // The load it answers: prompts of thousands of tokens with answers of a few,
 // beside chats with short prompts and answers of thousands, in a mix that turns
--- a/io/lwtgateway/attempt.go
+++ b/io/lwtgateway/attempt.go
@@ -44,7 +44,7 @@
 }
 
 // priority returns the rank of the request at an engine. A long prompt that a
-// decode engine reads beside its own work comes after everything else.
+// decode engine prefills beside its own work comes after everything else.
 func (call *call) priority() int {
 	if call.place.choice.Spilled {
 		return spillPriority
@@ -52,20 +52,20 @@
 	return min(basePriority+call.route.Priority, spillPriority-1)
 }
 
-// prefill has the chosen engine read the prompt.
+// prefill has the chosen engine prefill the prompt.
 func (call *call) prefill() any {
 	choice, start := call.place.choice, time.Now()
 	view := call.gateway.view
-	view.onEngines(call.service, func(model *lwtplace.Model) { model.ReadStarted(start, call.request, choice) })
+	view.onEngines(call.service, func(model *lwtplace.Model) { model.PrefillStarted(start, call.request, choice) })
 	call.gateway.exchange.promptSent()
-	handle, outcome, err := call.readPrompt()
+	handle, outcome, err := call.sendPrefill()
 	now := time.Now()
 	took := now.Sub(start)
 	view.onEngines(call.service, func(model *lwtplace.Model) {
 		if err != nil {
-			model.ReadEnded(call.request, choice, 0)
+			model.PrefillEnded(call.request, choice, 0)
 		} else {
-			model.ReadEnded(call.request, choice, took)
+			model.PrefillEnded(call.request, choice, took)
 		}
 		if err != nil && outcome != lwtretry.Refused && call.context.Err() == nil {
 			model.Failed(now, choice.Prefill.ID)
@@ -79,7 +79,7 @@
 	call.chooseRun(now)
 	call.gateway.metrics.Observe("prefill", took)
 	lwtlog.Info(call.gateway.logger, "prefill-ended", "request", call.request.ID, "took", took.Round(time.Microsecond),
-		"waiting", choice.Waiting.Round(time.Microsecond), "reading", choice.Reading.Round(time.Microsecond), "server", choice.Prefill.ID,
+		"waiting", choice.Waiting.Round(time.Microsecond), "prefill-time", choice.PrefillTime.Round(time.Microsecond), "server", choice.Prefill.ID,
 		"tokens", call.request.PromptTokens, "shared", call.request.SharedTokens(), "cached", choice.Cached)
 	return lwtcourse.Prefilled{}
 }
@@ -93,7 +93,7 @@
 	call.place.server = call.place.choice.Run
 }
 
-func (call *call) readPrompt() (handle string, outcome lwtretry.Outcome, err error) {
+func (call *call) sendPrefill() (handle string, outcome lwtretry.Outcome, err error) {
 	server := call.place.choice.Prefill
 	head := call.headFor(server.ID, call.gateway.wire.AppendPrefill)
 	answer, outcome, err := call.exchangeWith(server.Address, anyIdle, head, false)
@@ -184,13 +184,13 @@
 	return message
 }
 
-// readEnded notes that the engine which runs the request has read its prompt.
-func (call *call) readEnded() {
-	if !call.reading {
+// prefillEnded notes that the engine which runs the request has prefilled its prompt.
+func (call *call) prefillEnded() {
+	if !call.prefilling {
 		return
 	}
-	call.reading = false
-	call.gateway.view.onEngines(call.service, func(model *lwtplace.Model) { model.ReadEnded(call.request, call.place.choice, 0) })
+	call.prefilling = false
+	call.gateway.view.onEngines(call.service, func(model *lwtplace.Model) { model.PrefillEnded(call.request, call.place.choice, 0) })
 }
 
 // discard reads the body of a refusal, so that the connection can be kept.
@@ -224,11 +224,11 @@
 		call.gateway.view.onEngines(call.service, func(model *lwtplace.Model) {
 			model.RunStarted(id)
 			if call.place.choice.Prefill.ID == "" {
-				model.ReadStarted(time.Now(), call.request, call.place.choice)
-				call.reading = true
+				model.PrefillStarted(time.Now(), call.request, call.place.choice)
+				call.prefilling = true
 			}
 		})
-		if call.reading {
+		if call.prefilling {
 			call.gateway.exchange.promptSent()
 		}
 		return
@@ -238,7 +238,7 @@
 
 func (call *call) ended(failed bool) {
 	id, now := call.place.server.ID, time.Now()
-	call.readEnded()
+	call.prefillEnded()
 	call.running = false
 	if !call.place.engine {
 		call.gateway.view.onPool(call.service, func(pool *lwtplace.Pool) { pool.Ended(now, id, failed, rand.Float64()) })
--- a/io/lwtgateway/call.go
+++ b/io/lwtgateway/call.go
@@ -39,8 +39,8 @@
 	delivered int
 	// running says that the request is counted at the server that runs it.
 	running bool
-	// reading says that the engine which runs the request still reads its prompt.
-	reading bool
+	// prefilling says that the engine which runs the request still prefills it.
+	prefilling bool
 }
 
 // handle answers one request of a caller.
@@ -180,7 +180,7 @@
 	lwtlog.Info(call.gateway.logger, "request-"+stepNames[step], "request", call.request.ID, "route", call.route.Name,
 		"reason", call.course.Reason(), "status", status, "took", took.Round(time.Microsecond),
 		"server", call.place.server.ID, "prefill", call.place.choice.Prefill.ID,
-		"waiting", call.place.choice.Waiting.Round(time.Millisecond), "reading", call.place.choice.Reading.Round(time.Millisecond),
+		"waiting", call.place.choice.Waiting.Round(time.Millisecond), "prefill-time", call.place.choice.PrefillTime.Round(time.Millisecond),
 		"cached", call.place.choice.Cached, "sent", call.course.Sent(), "tokens", call.request.PromptTokens,
 		"retry-after", call.course.RetryAfter().Round(time.Millisecond))
 }
--- a/io/lwtgateway/deliver.go
+++ b/io/lwtgateway/deliver.go
@@ -147,7 +147,7 @@
 }
 
 func (call *call) passEvent(events []byte) bool {
-	call.readEnded()
+	call.prefillEnded()
 	if !call.exchange.Begun() {
 		call.gateway.metrics.Observe("first-event", time.Since(call.exchange.Arrived))
 		if !call.begin() {
--- a/io/lwtgateway/exchange.go
+++ b/io/lwtgateway/exchange.go
@@ -22,7 +22,7 @@
 // loadMessage tells other daemons what this one has in work.
 type loadMessage struct {
 	daemonState
-	// Loads holds, by server, the time to read prompts in microseconds and the
+	// Loads holds, by server, the time to prefill prompts in microseconds and the
 	// number of running requests.
 	Loads map[string][2]int64 `cbor:"3,keyasint,omitempty"`
 	// Whole says that a server which is not in Loads has no work of the sender.
@@ -106,7 +106,7 @@
 	exchange.reporter, exchange.state, exchange.sent = next, state, now
 	message = loadMessage{daemonState: state, Loads: make(map[string][2]int64, len(report.Loads)), Whole: report.Whole}
 	for id, load := range report.Loads {
-		message.Loads[id] = [2]int64{load.Reading.Microseconds(), int64(load.Running)}
+		message.Loads[id] = [2]int64{load.PrefillTime.Microseconds(), int64(load.Running)}
 	}
 	return message, true
 }
@@ -185,7 +185,7 @@
 	}
 	report := lwtplace.Report{Whole: message.Whole, Loads: make(map[string]lwtplace.Load, len(message.Loads))}
 	for id, load := range message.Loads {
-		report.Loads[id] = lwtplace.Load{Reading: time.Duration(load[0]) * time.Microsecond, Running: int(load[1])}
+		report.Loads[id] = lwtplace.Load{PrefillTime: time.Duration(load[0]) * time.Microsecond, Running: int(load[1])}
 	}
 	gateway.view.takeReport(now, from.Name, report)
 	if message.Ordering {
--- a/io/lwtgateway/gateway.go
+++ b/io/lwtgateway/gateway.go
@@ -57,7 +57,7 @@
 	// backgroundWorkers bounds the calls beside requests, such as the freeing
 	// of memory.
 	backgroundWorkers = 32
-	// firstTokenTime is how long an engine reads one token before any reading
+	// firstTokenTime is how long an engine needs for one token before any prefill
 	// is measured: about what current engines need.
 	firstTokenTime = 3 * time.Microsecond
 )
