Log the estimates that decided a refusal

The line of a refused request said waiting=0s prefill-time=0s: the choice that was not good enough was dropped with the refusal, though OPERATIONS.md reads the cause from it. Place now returns it beside the refusal. TestRefusalTellsEstimates fails without the change. No decision changes.

--- a/core/lwtplace/place.go
+++ b/core/lwtplace/place.go
@@ -100,7 +100,8 @@
 	RetryAfter time.Duration
 }
 
-// Place chooses the engines of a generation.
+// Place chooses the engines of a generation. With a refusal, the choice is the best
+// one that was not good enough, if there is any.
 func (model *Model) Place(now time.Time, demand Demand) (Choice, *Refusal) {
 	run := model.pickRun(now, demand)
 	if run == nil {
@@ -143,7 +144,7 @@
 		choice.Run, choice.Prefill, choice.Spilled = choice.Prefill, lwtroster.Server{}, true
 		return choice, nil
 	}
-	return Choice{}, model.refuse(demand, full)
+	return full, model.refuse(demand, full)
 }
 
 // Times of placement.
--- a/core/lwtplace/place_test.go
+++ b/core/lwtplace/place_test.go
@@ -251,6 +251,18 @@
 	}
 }
 
+// TestRefusalTellsEstimates guards against a refusal whose cause is not in the log.
+func TestRefusalTellsEstimates(t *testing.T) {
+	model := model(1, 1)
+	model.TakeReport(start, "other", lwtplace.Report{
+		Whole: true, Loads: map[string]lwtplace.Load{"prefill-0": {PrefillTime: time.Second}, "decode-0": {Running: 20}},
+	})
+	choice, refusal := model.Place(start, demand(long(1)))
+	if refusal == nil || choice.Prefill.ID != "prefill-0" || choice.Waiting != time.Second || choice.PrefillTime <= 0 {
+		t.Errorf("refusal %+v with the estimates %+v", refusal, choice)
+	}
+}
+
 // TestFullDecodeEngines guards against prompts that are prefilled although no engine
 // can run them.
 func TestFullDecodeEngines(t *testing.T) {
--- a/io/lwtgateway/call.go
+++ b/io/lwtgateway/call.go
@@ -119,6 +119,10 @@
 	}
 	place, refusal := call.gateway.view.pick(now, call.service, demand)
 	if refusal != nil {
+		if !call.course.Holding() {
+			// The estimates that decided are logged with the refusal.
+			call.place.choice = place.choice
+		}
 		return lwtcourse.NoRoom{Reason: refusal.Reason, RetryAfter: refusal.RetryAfter}
 	}
 	call.place = place
