Read the change once more: one function for reports, one choice of a run

The view is locked once after a prefill, not twice. - The number of live daemons was taken from a sorted copy of them, several hundred times a second in a small fleet; it is counted. - Names spoke of news, telling, taking and giving; they are notify, report, broadcast, request and handle now. Log lines: configuration-request-not-sent, configuration-reply-not-sent, loads-not-encoded, servers-not-encoded. - Two tests of lwtstage shared their preparation; it is a function.

Ruled out: a change of decisions. A prompt's run is chosen by the same rule at the same moment as before; no bound and no check is changed.

--- a/core/lwtplace/peer.go
+++ b/core/lwtplace/peer.go
@@ -39,6 +39,21 @@
 	}
 }
 
+// applyReport notes a report of a daemon in the loads of servers, by server id.
+func applyReport[Server any](now time.Time, daemon string, report Report, servers map[string]Server, loadsOf func(Server) *peerLoads) {
+	if !report.Whole {
+		for id, load := range report.Loads {
+			if server, found := servers[id]; found {
+				loadsOf(server).set(now, daemon, load)
+			}
+		}
+		return
+	}
+	for id, server := range servers {
+		loadsOf(server).set(now, daemon, report.Loads[id])
+	}
+}
+
 // sum returns the load of all daemons that were heard lately.
 func (peers peerLoads) sum(now time.Time) Load {
 	var total Load
--- a/core/lwtplace/place.go
+++ b/core/lwtplace/place.go
@@ -65,7 +65,8 @@
 	// Prefill is the engine that prefills the prompt. Its id is empty when Run does
 	// it itself.
 	Prefill lwtroster.Server
-	// Run generates the tokens.
+	// Run generates the tokens. If another engine prefills the prompt, ChooseRun
+	// chooses it again after that.
 	Run lwtroster.Server
 	// PrefillTime is the estimated time to prefill the prompt, without waiting.
 	PrefillTime time.Duration
@@ -111,7 +112,7 @@
 		return Choice{}, refusal
 	}
 	if demand.Holder.ID != "" {
-		return Choice{Prefill: demand.Holder, Run: model.nearRun(now, demand, demand.Holder, run).server}, nil
+		return model.ChooseRun(now, demand, Choice{Prefill: demand.Holder, Run: run.server}), nil
 	}
 	uncached := model.prefillTime(demand.Request.PromptTokens)
 	if demand.Direct || decodeSlowness*uncached <= directPrefill {
@@ -119,7 +120,7 @@
 	}
 	prefill, choice := model.pickPrefill(now, demand, lwtroster.Prefill)
 	if prefill != nil && model.refuse(demand, choice) == nil {
-		choice.Run = model.nearRun(now, demand, prefill.server, run).server
+		choice.Run = run.server
 		return choice, nil
 	}
 	return model.prefillAtDecode(now, demand, choice)
@@ -272,17 +273,10 @@
 	return model.leastRunning(now, demand, model.terms.AvailabilityZone)
 }
 
-// nearRun prefers a decode engine in the availability zone of the prefill
-// engine, because a transfer between zones takes twice as long.
-func (model *Model) nearRun(now time.Time, demand Demand, prefill lwtroster.Server, otherwise *engine) *engine {
-	if near := model.leastRunning(now, demand, prefill.AvailabilityZone); near != nil {
-		return near
-	}
-	return otherwise
-}
-
 // ChooseRun chooses the engine that runs a request after its prefill, which
-// takes longer than most runs: other engines have become free meanwhile.
+// takes longer than most runs: other engines have become free meanwhile. One in
+// the availability zone of the prefill engine is preferred, because a transfer
+// between zones takes twice as long.
 func (model *Model) ChooseRun(now time.Time, demand Demand, choice Choice) Choice {
 	if run := model.leastRunning(now, demand, choice.Prefill.AvailabilityZone); run != nil {
 		choice.Run = run.server
--- a/core/lwtplace/place_test.go
+++ b/core/lwtplace/place_test.go
@@ -124,7 +124,7 @@
 // TestPeersCount guards against daemons that each fill an engine alone.
 func TestPeersCount(t *testing.T) {
 	model := model(1, 1)
-	model.TakeReport(start, "other", lwtplace.Report{
+	model.ApplyReport(start, "other", lwtplace.Report{
 		Whole: true, Loads: map[string]lwtplace.Load{"prefill-0": {PrefillTime: 80 * time.Millisecond}},
 	})
 	if choice, _ := model.Place(start, demand(long(1))); choice.Waiting != 80*time.Millisecond {
@@ -254,7 +254,7 @@
 // TestRefusalTellsEstimates guards against a refusal whose cause is not in the log.
 func TestRefusalTellsEstimates(t *testing.T) {
 	model := model(1, 1)
-	model.TakeReport(start, "other", lwtplace.Report{
+	model.ApplyReport(start, "other", lwtplace.Report{
 		Whole: true, Loads: map[string]lwtplace.Load{"prefill-0": {PrefillTime: time.Second}, "decode-0": {Running: 20}},
 	})
 	choice, refusal := model.Place(start, demand(long(1)))
@@ -296,7 +296,7 @@
 		spills bool
 	}{{0, true}, {5, true}, {6, false}} {
 		model := model(1, 1)
-		model.TakeReport(start, "other", lwtplace.Report{
+		model.ApplyReport(start, "other", lwtplace.Report{
 			Whole: true, Loads: map[string]lwtplace.Load{"prefill-0": {PrefillTime: time.Second}, "decode-0": {Running: test.runs}},
 		})
 		choice, refusal := model.Place(start, demand(long(1)))
--- a/core/lwtplace/report.go
+++ b/core/lwtplace/report.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Report tells other daemons what one daemon has in work.
+// Report holds what one daemon has in work, for the others.
 type Report struct {
 	// Whole says that servers which are not named have no work of the daemon.
 	// Otherwise the load of those is as it was in the reports before.
@@ -18,36 +18,36 @@
 // Reporter makes the reports of one daemon: the changes since the last one, and
 // from time to time the whole. The zero value has reported nothing.
 type Reporter struct {
-	told  map[string]Load
-	whole time.Time
+	reported map[string]Load
+	whole    time.Time
 }
 
-// Report returns what to tell now and how the reporter goes on. Loads is what the
+// Report returns the next report and how the reporter goes on. Loads is what the
 // daemon has in work, by server id, without idle servers. Due is false when the
 // other daemons know it already.
 func (reporter Reporter) Report(now time.Time, loads map[string]Load) (next Reporter, report Report, due bool) {
 	if now.Sub(reporter.whole) >= wholeInterval {
-		return Reporter{told: loads, whole: now}, Report{Whole: true, Loads: loads}, len(loads) > 0 || len(reporter.told) > 0
+		return Reporter{reported: loads, whole: now}, Report{Whole: true, Loads: loads}, len(loads) > 0 || len(reporter.reported) > 0
 	}
 	changes := map[string]Load{}
 	for id, load := range loads {
-		if reporter.told[id] != load {
+		if reporter.reported[id] != load {
 			changes[id] = load
 		}
 	}
-	for id := range reporter.told {
+	for id := range reporter.reported {
 		if _, found := loads[id]; !found {
 			changes[id] = Load{}
 		}
 	}
-	return Reporter{told: loads, whole: reporter.whole}, Report{Loads: changes}, len(changes) > 0
+	return Reporter{reported: loads, whole: reporter.whole}, Report{Loads: changes}, len(changes) > 0
 }
 
 // Times between two reports. Each daemon reports to each other one, so they grow
 // with the fleet.
 //
 // The load they answer: prompts that come to all daemons at once and each take an
-// engine for tens of milliseconds. Until a daemon is told of a prompt, it sends
+// engine for tens of milliseconds. Until a daemon knows of a prompt, it sends
 // its own to the same engine, whose queue then passes the objective.
 const (
 	// reportsPerSecond bounds the reports that a daemon sends and takes: at about
@@ -61,10 +61,10 @@
 )
 
 // PromptReportInterval is the shortest time between two reports of which the
-// second tells of a prompt. Daemons is the number of live daemons.
+// second adds a prompt. Daemons is the number of live daemons.
 func PromptReportInterval(daemons int) time.Duration {
 	return max(time.Duration(daemons)*time.Second/reportsPerSecond, minReportInterval)
 }
 
-// ReportInterval is the time until a change that adds no prompt is told.
+// ReportInterval is the time until a change that adds no prompt is reported.
 func ReportInterval(daemons int) time.Duration { return endReports * PromptReportInterval(daemons) }
--- a/core/lwtplace/report_test.go
+++ b/core/lwtplace/report_test.go
@@ -111,7 +111,7 @@
 		daemon.reporter, daemon.reported, daemon.prompted = next, now, false
 		for j, other := range crowd.daemons {
 			if due && i != j {
-				other.model.TakeReport(now, fmt.Sprint(i), report)
+				other.model.ApplyReport(now, fmt.Sprint(i), report)
 			}
 		}
 	}
@@ -158,7 +158,7 @@
 			case due && rapid.IntRange(0, 4).Draw(t, "loss") == 0:
 				lost = true
 			case due:
-				receiver.TakeReport(now, "sender", report)
+				receiver.ApplyReport(now, "sender", report)
 				lost = lost && !report.Whole
 			}
 			if !lost {
@@ -176,7 +176,7 @@
 	for now := start; now.Before(start.Add(5 * time.Second)); now = now.Add(100 * time.Millisecond) {
 		next, report, due := reporter.Report(now, loads)
 		if reporter = next; due {
-			model.TakeReport(now, "other", report)
+			model.ApplyReport(now, "other", report)
 		}
 		if choice, _ := model.Place(now, demand(unshared)); choice.Waiting != 80*time.Millisecond {
 			t.Fatalf("waiting %s after %s beside another daemon's 80ms", choice.Waiting, now.Sub(start))
--- a/core/lwtplace/service.go
+++ b/core/lwtplace/service.go
@@ -98,17 +98,7 @@
 	return loads
 }
 
-// TakeReport notes what another daemon has sent to the servers.
-func (pool *Pool) TakeReport(now time.Time, daemon string, report Report) {
-	if !report.Whole {
-		for id, load := range report.Loads {
-			if member, found := pool.members[id]; found {
-				member.peers.set(now, daemon, load)
-			}
-		}
-		return
-	}
-	for id, member := range pool.members {
-		member.peers.set(now, daemon, report.Loads[id])
-	}
+// ApplyReport notes what another daemon has sent to the servers.
+func (pool *Pool) ApplyReport(now time.Time, daemon string, report Report) {
+	applyReport(now, daemon, report, pool.members, func(member *member) *peerLoads { return &member.peers })
 }
--- a/core/lwtplace/track.go
+++ b/core/lwtplace/track.go
@@ -134,17 +134,7 @@
 	return loads
 }
 
-// TakeReport notes what another daemon has sent to the engines.
-func (model *Model) TakeReport(now time.Time, daemon string, report Report) {
-	if !report.Whole {
-		for id, load := range report.Loads {
-			if engine, found := model.engines[id]; found {
-				engine.peers.set(now, daemon, load)
-			}
-		}
-		return
-	}
-	for id, engine := range model.engines {
-		engine.peers.set(now, daemon, report.Loads[id])
-	}
+// ApplyReport notes what another daemon has sent to the engines.
+func (model *Model) ApplyReport(now time.Time, daemon string, report Report) {
+	applyReport(now, daemon, report, model.engines, func(engine *engine) *peerLoads { return &engine.peers })
 }
--- a/core/lwtstage/stage_test.go
+++ b/core/lwtstage/stage_test.go
@@ -88,14 +88,19 @@
 	}
 }
 
-// TestLostDecodeEngine guards against a fleet that is left without engines that
-// generate when some are lost.
-func TestLostDecodeEngine(t *testing.T) {
-	servers, planner := fleet(12), lwtstage.New()
+// staged returns a fleet whose engines have got their first stages by now.
+func staged(engines int) (servers []lwtroster.Server, planner *lwtstage.Planner, now time.Time) {
+	servers, planner, now = fleet(engines), lwtstage.New(), start.Add(2*time.Second)
 	planner.Plan(start, servers, false)
-	now := start.Add(2 * time.Second)
 	carryOut(planner, now, servers, planner.Plan(now, servers, false))
 	planner.Plan(now.Add(time.Second), servers, false)
+	return servers, planner, now
+}
+
+// TestLostDecodeEngine guards against a fleet that is left without engines that
+// generate when some are lost.
+func TestLostDecodeEngine(t *testing.T) {
+	servers, planner, now := staged(12)
 	lost := 0
 	for i := range servers {
 		if servers[i].Stage == lwtroster.Decode && lost < 3 {
@@ -115,11 +120,7 @@
 // TestLostEnginesTakeNoMoreAway guards against a planner that takes an engine
 // from those that generate because others were lost.
 func TestLostEnginesTakeNoMoreAway(t *testing.T) {
-	servers, planner := fleet(12), lwtstage.New()
-	planner.Plan(start, servers, false)
-	now := start.Add(2 * time.Second)
-	carryOut(planner, now, servers, planner.Plan(now, servers, false))
-	planner.Plan(now.Add(time.Second), servers, false)
+	servers, planner, now := staged(12)
 	left := servers[:0:0]
 	for i, server := range servers {
 		if server.Stage == lwtroster.Decode || i%3 != 0 {
--- a/io/lwtgateway/attempt.go
+++ b/io/lwtgateway/attempt.go
@@ -62,12 +62,13 @@
 	now := time.Now()
 	took := now.Sub(start)
 	view.onEngines(call.service, func(model *lwtplace.Model) {
-		if err != nil {
-			model.PrefillEnded(call.request, choice, 0)
-		} else {
+		if err == nil {
 			model.PrefillEnded(call.request, choice, took)
+			call.setRun(model.ChooseRun(now, lwtplace.Demand{Request: call.request, Excluded: call.excluded}, choice))
+			return
 		}
-		if err != nil && outcome != lwtretry.Refused && call.context.Err() == nil {
+		model.PrefillEnded(call.request, choice, 0)
+		if outcome != lwtretry.Refused && call.context.Err() == nil {
 			model.Failed(now, choice.Prefill.ID)
 		}
 	})
@@ -76,7 +77,6 @@
 		return call.failure(outcome, "prefill", err)
 	}
 	call.handle = handle
-	call.chooseRun(now)
 	call.gateway.metrics.Observe("prefill", took)
 	lwtlog.Info(call.gateway.logger, "prefill-ended", "request", call.request.ID, "took", took.Round(time.Microsecond),
 		"waiting", choice.Waiting.Round(time.Microsecond), "prefill-time", choice.PrefillTime.Round(time.Microsecond), "server", choice.Prefill.ID,
@@ -84,13 +84,8 @@
 	return lwtcourse.Prefilled{}
 }
 
-// chooseRun chooses the engine that runs the request by what is known now.
-func (call *call) chooseRun(now time.Time) {
-	demand := lwtplace.Demand{Request: call.request, Excluded: call.excluded}
-	call.gateway.view.onEngines(call.service, func(model *lwtplace.Model) {
-		call.place.choice = model.ChooseRun(now, demand, call.place.choice)
-	})
-	call.place.server = call.place.choice.Run
+func (call *call) setRun(choice lwtplace.Choice) {
+	call.place.choice, call.place.server = choice, choice.Run
 }
 
 func (call *call) sendPrefill() (handle string, outcome lwtretry.Outcome, err error) {
--- a/io/lwtgateway/config_news.go
+++ b/io/lwtgateway/config_updates.go
@@ -11,16 +11,16 @@
 // Kinds of message by which a daemon that cannot read the store gets the
 // configuration from one that has read it.
 const (
-	configWantedKind = "configuration-wanted"
-	configKind       = "configuration"
+	configRequestKind = "configuration-request"
+	configKind        = "configuration"
 )
 
-// catchUpPause is the shortest time between two questions for a newer
-// configuration: an answer is here in a few milliseconds, or is lost.
-const catchUpPause = 200 * time.Millisecond
+// configRequestInterval is the shortest time between two requests for a newer
+// configuration: a reply arrives within a few milliseconds, or is lost.
+const configRequestInterval = 200 * time.Millisecond
 
-// configWanted asks for the configuration in force.
-type configWanted struct{}
+// configRequest requests the configuration in force.
+type configRequest struct{}
 
 // configMessage carries a configuration as the store holds it.
 type configMessage struct {
@@ -28,35 +28,35 @@
 	Value      []byte `cbor:"2,keyasint"`
 }
 
-// catchUp asks a daemon that has a newer configuration for it.
-func (gateway *Gateway) catchUp(now time.Time, daemon string) {
-	before := gateway.askedConfig.Load()
-	if now.UnixNano()-before < int64(catchUpPause) || !gateway.askedConfig.CompareAndSwap(before, now.UnixNano()) {
+// requestConfig requests the configuration from a daemon that has a newer one.
+func (gateway *Gateway) requestConfig(now time.Time, daemon string) {
+	before := gateway.configRequested.Load()
+	if now.UnixNano()-before < int64(configRequestInterval) || !gateway.configRequested.CompareAndSwap(before, now.UnixNano()) {
 		return
 	}
 	network := gateway.exchange.open()
 	if network == nil {
 		return
 	}
-	gateway.metrics.Count("configuration-asked")
-	if err := network.Send(daemon, configWantedKind, configWanted{}); err != nil {
-		lwtlog.Info(gateway.logger, "configuration-not-asked", "daemon", daemon, "err", err)
+	gateway.metrics.Count("configuration-requested")
+	if err := network.Send(daemon, configRequestKind, configRequest{}); err != nil {
+		lwtlog.Info(gateway.logger, "configuration-request-not-sent", "daemon", daemon, "err", err)
 	}
 }
 
-// giveConfig answers a daemon that asks for the configuration in force.
-func (gateway *Gateway) giveConfig(from lwtpeer.Identity, _ []byte) {
+// handleConfigRequest replies with the configuration in force.
+func (gateway *Gateway) handleConfigRequest(from lwtpeer.Identity, _ []byte) {
 	row, network := gateway.view.configurationRow(), gateway.exchange.open()
 	if row.Version == 0 || network == nil {
 		return
 	}
 	if err := network.Send(from.Name, configKind, configMessage{RowVersion: row.Version, Value: row.Value}); err != nil {
-		// It reads the store itself when it can, or asks again.
-		lwtlog.Info(gateway.logger, "configuration-not-given", "daemon", from.Name, "err", err)
+		// It reads the store itself when it can, or requests it again.
+		lwtlog.Info(gateway.logger, "configuration-reply-not-sent", "daemon", from.Name, "err", err)
 	}
 }
 
-func (gateway *Gateway) takeConfig(from lwtpeer.Identity, body []byte) {
+func (gateway *Gateway) handleConfig(from lwtpeer.Identity, body []byte) {
 	var message configMessage
 	if err := lwtpeer.Decode(body, &message); err != nil {
 		lwtlog.Warn(gateway.logger, "configuration-ignored", "daemon", from.Name, "err", err)
--- a/io/lwtgateway/exchange.go
+++ b/io/lwtgateway/exchange.go
@@ -19,7 +19,7 @@
 // Four of them are lost before a daemon counts as silent.
 const maxExchangePause = 500 * time.Millisecond
 
-// loadMessage tells other daemons what this one has in work.
+// loadMessage reports to other daemons what this one has in work.
 type loadMessage struct {
 	daemonState
 	// Loads holds, by server, the time to prefill prompts in microseconds and the
@@ -30,7 +30,7 @@
 	Whole bool `cbor:"7,keyasint,omitempty"`
 }
 
-// daemonState is what a loadMessage tells beside the loads.
+// daemonState is what a loadMessage reports beside the loads.
 type daemonState struct {
 	Ready bool `cbor:"1,keyasint"`
 	// Config is the version of the configuration in force.
@@ -48,7 +48,7 @@
 		state.Entry == other.Entry && slices.Equal(state.Changing, other.Changing)
 }
 
-// exchange tells the other daemons what this one has in work. It is safe for
+// exchange reports to the other daemons what this one has in work. It is safe for
 // concurrent use.
 type exchange struct {
 	// prompt has an element when a prompt was sent to an engine since the last
@@ -64,7 +64,7 @@
 
 func newExchange() *exchange { return &exchange{prompt: make(chan struct{}, 1)} }
 
-// promptSent has the other daemons told soon.
+// promptSent makes the next report due soon.
 func (exchange *exchange) promptSent() {
 	select {
 	case exchange.prompt <- struct{}{}:
@@ -95,7 +95,7 @@
 	return true
 }
 
-// message returns what to tell now. Due is false when the other daemons know it.
+// message returns the next message. Due is false when nothing has changed.
 func (exchange *exchange) message(now time.Time, state daemonState, loads map[string]lwtplace.Load) (message loadMessage, due bool) {
 	exchange.mutex.Lock()
 	defer exchange.mutex.Unlock()
@@ -111,7 +111,8 @@
 	return message, true
 }
 
-// exchangeLoads tells the other daemons what this one has in work until ctx ends.
+// exchangeLoads reports to the other daemons what this one has in work until ctx
+// ends.
 func (gateway *Gateway) exchangeLoads(ctx context.Context, listener net.Listener) error {
 	key, err := gateway.peerKey(ctx)
 	if err != nil {
@@ -125,8 +126,8 @@
 			lwtlog.Warn(gateway.logger, "peers-not-accepted", "err", err)
 		}
 	}()
-	for gateway.exchange.await(ctx, len(gateway.members.live(time.Now()))) {
-		gateway.tellLoads()
+	for gateway.exchange.await(ctx, gateway.members.count(time.Now())) {
+		gateway.broadcastLoads()
 	}
 	return ctx.Err()
 }
@@ -135,18 +136,18 @@
 	identity := lwtpeer.Identity{Name: gateway.settings.Name, Address: gateway.settings.PeerAddress, Boot: gateway.boot}
 	network := lwtpeer.New(lwtpeer.DefaultOptions(identity, key, gateway.logger))
 	network.SetDirectory(gateway.members)
-	network.HandleIdentity(loadKind, gateway.takeLoads)
-	network.HandleIdentity(serverKind, gateway.takeServers)
-	network.HandleIdentity(configWantedKind, gateway.giveConfig)
-	network.HandleIdentity(configKind, gateway.takeConfig)
+	network.HandleIdentity(loadKind, gateway.handleLoads)
+	network.HandleIdentity(serverKind, gateway.handleServers)
+	network.HandleIdentity(configRequestKind, gateway.handleConfigRequest)
+	network.HandleIdentity(configKind, gateway.handleConfig)
 	gateway.exchange.mutex.Lock()
 	defer gateway.exchange.mutex.Unlock()
 	gateway.exchange.network = network
 	return network
 }
 
-// tellLoads tells the other daemons what has changed.
-func (gateway *Gateway) tellLoads() {
+// broadcastLoads reports to the other daemons what has changed.
+func (gateway *Gateway) broadcastLoads() {
 	network := gateway.exchange.open()
 	if network == nil {
 		return
@@ -155,10 +156,10 @@
 	if !due {
 		return
 	}
-	// A daemon that misses the message is told the whole before long.
+	// The next whole report makes good a message that is lost.
 	dropped, err := network.Broadcast(loadKind, message)
 	if err != nil {
-		lwtlog.Warn(gateway.logger, "loads-not-told", "err", err)
+		lwtlog.Warn(gateway.logger, "loads-not-encoded", "err", err)
 	}
 	gateway.metrics.CountBy("loads-not-sent", dropped)
 }
@@ -170,24 +171,24 @@
 	return state
 }
 
-func (gateway *Gateway) takeLoads(from lwtpeer.Identity, body []byte) {
+func (gateway *Gateway) handleLoads(from lwtpeer.Identity, body []byte) {
 	var message loadMessage
 	if err := lwtpeer.Decode(body, &message); err != nil {
 		lwtlog.Warn(gateway.logger, "loads-ignored", "daemon", from.Name, "err", err)
 		return
 	}
 	now := time.Now()
-	if gateway.members.hear(now, from, message.Entry, message.Ready) {
+	if gateway.members.heardFrom(now, from, message.Entry, message.Ready) {
 		gateway.logJoined(from.Name, from.Boot, message.Entry, "message")
 	}
 	if config, _ := gateway.view.configuration(); message.Config > config.Version {
-		gateway.catchUp(now, from.Name)
+		gateway.requestConfig(now, from.Name)
 	}
 	report := lwtplace.Report{Whole: message.Whole, Loads: make(map[string]lwtplace.Load, len(message.Loads))}
 	for id, load := range message.Loads {
 		report.Loads[id] = lwtplace.Load{PrefillTime: time.Duration(load[0]) * time.Microsecond, Running: int(load[1])}
 	}
-	gateway.view.takeReport(now, from.Name, report)
+	gateway.view.applyReport(now, from.Name, report)
 	if message.Ordering {
 		gateway.view.setChanging(message.Changing)
 	}
--- a/io/lwtgateway/gateway.go
+++ b/io/lwtgateway/gateway.go
@@ -45,9 +45,9 @@
 	// serverRows holds the newest version of each server's row that was seen. It
 	// is used under the lock of the view.
 	serverRows map[string]int64
-	// askedConfig is when another daemon was last asked for its configuration, in
-	// nanoseconds since 1970.
-	askedConfig atomic.Int64
+	// configRequested is when the configuration was last requested from another
+	// daemon, in nanoseconds since 1970.
+	configRequested atomic.Int64
 
 	mutex   sync.Mutex
 	leaving leave
--- a/io/lwtgateway/members.go
+++ b/io/lwtgateway/members.go
@@ -123,6 +123,19 @@
 	return live
 }
 
+// count returns the number of live daemons, this one included.
+func (members *members) count(now time.Time) int {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	count := 1
+	for _, known := range members.known {
+		if known.live(now) {
+			count++
+		}
+	}
+	return count
+}
+
 // intervalOf returns the time between two writes of a daemon's row.
 func intervalOf(daemons int) time.Duration {
 	return min(max(memberInterval*time.Duration(daemons)/smallFleet, memberInterval), maxMemberInterval)
@@ -169,10 +182,10 @@
 	return joined, broken
 }
 
-// hear notes a message of another daemon and reports whether it joins by it. A
+// heardFrom notes a message of another daemon and reports whether it joins by it. A
 // daemon that was started again, or is new, is known by its message until its row
 // is read.
-func (members *members) hear(now time.Time, identity lwtpeer.Identity, entry string, ready bool) (joined bool) {
+func (members *members) heardFrom(now time.Time, identity lwtpeer.Identity, entry string, ready bool) (joined bool) {
 	members.mutex.Lock()
 	defer members.mutex.Unlock()
 	known := members.known[identity.Name]
--- a/io/lwtgateway/members_test.go
+++ b/io/lwtgateway/members_test.go
@@ -34,7 +34,7 @@
 	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 	members := newMembers(Settings{Name: "self"}, 1)
 	members.observe(at(0), []platform.Row{memberRow(t, "other", 7, 1)})
-	members.hear(at(2.9), lwtpeer.Identity{Name: "other", Boot: 7}, "other:1", true)
+	members.heardFrom(at(2.9), lwtpeer.Identity{Name: "other", Boot: 7}, "other:1", true)
 	if !isLive(members, at(3), "other") {
 		t.Fatal("a daemon that was just heard is not live")
 	}
@@ -71,7 +71,7 @@
 	members := newMembers(Settings{Name: "self"}, 1)
 	members.observe(start, []platform.Row{memberRow(t, "other", 7, 1)})
 	members.observe(start.Add(time.Second), []platform.Row{memberRow(t, "other", 8, 2)})
-	members.hear(start.Add(1500*time.Millisecond), lwtpeer.Identity{Name: "other", Boot: 7}, "other:1", true)
+	members.heardFrom(start.Add(1500*time.Millisecond), lwtpeer.Identity{Name: "other", Boot: 7}, "other:1", true)
 	for _, member := range members.live(start.Add(1500 * time.Millisecond)) {
 		if member.Name == "other" && member.Boot != 8 {
 			t.Error("a message of an earlier run replaces the new one")
@@ -86,8 +86,8 @@
 	members := newMembers(Settings{Name: "self"}, 1)
 	members.observe(start, []platform.Row{memberRow(t, "other", 7, 1)})
 	now := start.Add(10 * time.Second)
-	members.hear(now, lwtpeer.Identity{Name: "other", Address: "other:2", Boot: 9}, "other:1", true)
-	members.hear(now, lwtpeer.Identity{Name: "new", Address: "new:2", Boot: 3}, "new:1", true)
+	members.heardFrom(now, lwtpeer.Identity{Name: "other", Address: "other:2", Boot: 9}, "other:1", true)
+	members.heardFrom(now, lwtpeer.Identity{Name: "new", Address: "new:2", Boot: 3}, "new:1", true)
 	for _, name := range []string{"other", "new"} {
 		address, _ := members.Address(name)
 		if !isLive(members, now, name) || address != name+":2" {
--- a/io/lwtgateway/server_news.go
+++ b/io/lwtgateway/server_updates.go
@@ -11,7 +11,7 @@
 // serverKind is the kind of message that carries a serverMessage.
 const serverKind = "servers"
 
-// serverMessage tells of entries of backend servers that have changed.
+// serverMessage carries entries of backend servers that have changed.
 type serverMessage struct {
 	Rows []serverRow `cbor:"1,keyasint"`
 }
@@ -23,9 +23,9 @@
 	Deleted bool   `cbor:"4,keyasint,omitempty"`
 }
 
-// tellServers tells the other daemons of changed entries, so that each of them
+// notifyServers sends changed entries to the other daemons, so that each of them
 // need not read the list often.
-func (gateway *Gateway) tellServers(rows []platform.Row) {
+func (gateway *Gateway) notifyServers(rows []platform.Row) {
 	network := gateway.exchange.open()
 	if network == nil || len(rows) == 0 {
 		return
@@ -37,12 +37,12 @@
 	// A daemon that misses the message reads the list itself.
 	dropped, err := network.Broadcast(serverKind, message)
 	if err != nil {
-		lwtlog.Warn(gateway.logger, "servers-not-told", "err", err)
+		lwtlog.Warn(gateway.logger, "servers-not-encoded", "err", err)
 	}
-	gateway.metrics.CountBy("servers-not-told", dropped)
+	gateway.metrics.CountBy("servers-not-sent", dropped)
 }
 
-func (gateway *Gateway) takeServers(from lwtpeer.Identity, body []byte) {
+func (gateway *Gateway) handleServers(from lwtpeer.Identity, body []byte) {
 	var message serverMessage
 	if err := lwtpeer.Decode(body, &message); err != nil {
 		lwtlog.Warn(gateway.logger, "servers-ignored", "daemon", from.Name, "err", err)
--- a/io/lwtgateway/store.go
+++ b/io/lwtgateway/store.go
@@ -134,7 +134,7 @@
 		read: gateway.readConfigRows, changed: gateway.readConfigRows, back: func(time.Time) {},
 	}
 	return follower.follow(ctx, func() time.Duration {
-		daemons := len(gateway.members.live(time.Now()))
+		daemons := gateway.members.count(time.Now())
 		follower.wait = min(max(configWait*time.Duration(daemons)/smallFleet, configWait), maxConfigWait)
 		return 0
 	})
@@ -158,7 +158,7 @@
 
 // serversInterval returns the time until the next read of the changes of servers.
 func (gateway *Gateway) serversInterval() time.Duration {
-	daemons := len(gateway.members.live(time.Now()))
+	daemons := gateway.members.count(time.Now())
 	most := time.Duration(drainShare * gateway.bounds.Load().DrainMilliseconds * float64(time.Millisecond))
 	return max(min(time.Duration(daemons)*serversPerDaemon, most), minServersInterval)
 }
@@ -199,12 +199,12 @@
 }
 
 func (gateway *Gateway) changeServers(now time.Time, rows []platform.Row) {
-	gateway.tellServers(gateway.applyServers(now, rows, "change"))
+	gateway.notifyServers(gateway.applyServers(now, rows, "change"))
 }
 
 // applyServers takes in changed entries and returns those that change what the
 // daemon does: a heartbeat alone does not.
-func (gateway *Gateway) applyServers(now time.Time, rows []platform.Row, source string) (news []platform.Row) {
+func (gateway *Gateway) applyServers(now time.Time, rows []platform.Row, source string) (newer []platform.Row) {
 	gateway.view.updateRoster(func(roster lwtroster.Roster) lwtroster.Roster {
 		for _, row := range rows {
 			if row.Version <= gateway.serverRows[row.Key] {
@@ -213,12 +213,12 @@
 			gateway.serverRows[row.Key] = row.Version
 			var changed bool
 			if roster, changed = gateway.applyServer(now, roster, row, source); changed {
-				news = append(news, row)
+				newer = append(newer, row)
 			}
 		}
 		return roster
 	})
-	return news
+	return newer
 }
 
 func (gateway *Gateway) applyServer(now time.Time, roster lwtroster.Roster, row platform.Row, source string) (lwtroster.Roster, bool) {
--- a/io/lwtgateway/view.go
+++ b/io/lwtgateway/view.go
@@ -257,15 +257,15 @@
 	}
 }
 
-// takeReport notes what another daemon has in work.
-func (view *view) takeReport(now time.Time, daemon string, report lwtplace.Report) {
+// applyReport notes what another daemon has in work.
+func (view *view) applyReport(now time.Time, daemon string, report lwtplace.Report) {
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
 	for _, model := range view.engines {
-		model.TakeReport(now, daemon, report)
+		model.ApplyReport(now, daemon, report)
 	}
 	for _, pool := range view.services {
-		pool.TakeReport(now, daemon, report)
+		pool.ApplyReport(now, daemon, report)
 	}
 }
 
