Drop a server at once when another daemon has dropped it

The daemon a-2 alone is cut off from the store until 15.02 s and reads the servers again at 15.40 s. At 15.66 s a server that never reports that it leaves loses its entry; a-1 drops it and a-2 hears of it at 15.85 s, but keeps it for 2.5 s as one whose entry may have lapsed for want of the store. At 18.02 s it still sends it a prompt, 2,364 ms after the removal (2,000 ms allowed). The log said server-unlisted all the same.

Change: a message about a removed entry says whether the sender has dropped the server. One that had no outage has; its word ends the grace, also when the removal itself is known from the store already. The log says kept.

A shorter grace: entries are back about 2 s after an outage, which leaves no room below the 2 s of the drain.

--- a/core/lwtroster/roster.go
+++ b/core/lwtroster/roster.go
@@ -88,6 +88,17 @@
 	return next
 }
 
+// WithoutServer returns the roster without a server.
+func (roster Roster) WithoutServer(id string) Roster {
+	if _, found := roster.servers[id]; !found {
+		return roster
+	}
+	next := roster.copy()
+	delete(next.servers, id)
+	delete(next.missing, id)
+	return next
+}
+
 // WithoutEntry returns the roster after the entry of a server was removed. A
 // server whose entry may have lapsed only because the store was away is kept
 // for ReturnGrace after the store's return, unless it was leaving.
@@ -96,15 +107,14 @@
 	if !found {
 		return roster
 	}
+	end := roster.outageEnd.Add(ReturnGrace)
+	if !now.Before(end) || server.Leaving {
+		return roster.WithoutServer(id)
+	}
 	next := roster.copy()
-	if end := roster.outageEnd.Add(ReturnGrace); now.Before(end) && !server.Leaving {
-		if _, noted := next.missing[id]; !noted {
-			next.missing[id] = end
-		}
-		return next
+	if _, noted := next.missing[id]; !noted {
+		next.missing[id] = end
 	}
-	delete(next.servers, id)
-	delete(next.missing, id)
 	return next
 }
 
--- a/core/lwtroster/roster_test.go
+++ b/core/lwtroster/roster_test.go
@@ -37,6 +37,23 @@
 	}
 }
 
+// TestDroppedIsNotKept guards against a server that is kept after an outage of the
+// store although it is known to have left, and against one that stays noted as
+// missing and is dropped when it is listed again.
+func TestDroppedIsNotKept(t *testing.T) {
+	roster := lwtroster.Roster{}.WithEntry(server("a", 1)).WithOutageEnd(start).WithoutEntry(start, "a")
+	if _, kept := roster.Server("a"); !kept {
+		t.Fatal("a server whose entry may have lapsed is not kept")
+	}
+	roster = roster.WithoutServer("a")
+	if len(roster.Servers()) != 0 {
+		t.Error("a server that has left is kept")
+	}
+	if _, expired := roster.WithEntry(server("a", 2)).Expire(start.Add(time.Minute)); expired {
+		t.Error("a server that is listed again is dropped")
+	}
+}
+
 // TestLeavingIsNotKept guards against a leaving server that is kept as one that
 // may come back.
 func TestLeavingIsNotKept(t *testing.T) {
--- a/io/lwtgateway/server_updates.go
+++ b/io/lwtgateway/server_updates.go
@@ -16,30 +16,41 @@
 	Rows []serverRow `cbor:"1,keyasint"`
 }
 
+// serverChange is a changed entry of a backend server.
+type serverChange struct {
+	platform.Row
+	// dropped says that a daemon has dropped the server for it. A daemon that had no
+	// outage of the store knows that the entry has not lapsed because of one.
+	dropped bool
+}
+
 type serverRow struct {
 	Key     string `cbor:"1,keyasint"`
 	Value   []byte `cbor:"2,keyasint,omitempty"`
 	Version int64  `cbor:"3,keyasint"`
 	Deleted bool   `cbor:"4,keyasint,omitempty"`
+	Dropped bool   `cbor:"5,keyasint,omitempty"`
 }
 
 // notifyServers sends changed entries to the other daemons, so that each of them
 // need not read the list often.
-func (gateway *Gateway) notifyServers(rows []platform.Row) {
+func (gateway *Gateway) notifyServers(changes []serverChange) {
 	network := gateway.exchange.open()
-	if network == nil || len(rows) == 0 {
+	if network == nil || len(changes) == 0 {
 		return
 	}
 	var message serverMessage
-	for _, row := range rows {
-		message.Rows = append(message.Rows, serverRow{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
+	for _, change := range changes {
+		message.Rows = append(message.Rows, serverRow{
+			Key: change.Key, Value: change.Value, Version: change.Version, Deleted: change.Deleted, Dropped: change.dropped,
+		})
 	}
 	// A daemon that misses the message reads the list itself.
-	dropped, err := network.Broadcast(serverKind, message)
+	lost, err := network.Broadcast(serverKind, message)
 	if err != nil {
 		lwtlog.Warn(gateway.logger, "servers-not-encoded", "err", err)
 	}
-	gateway.metrics.CountBy("servers-not-sent", dropped)
+	gateway.metrics.CountBy("servers-not-sent", lost)
 }
 
 func (gateway *Gateway) handleServers(from lwtpeer.Identity, body []byte) {
@@ -48,9 +59,12 @@
 		lwtlog.Warn(gateway.logger, "servers-ignored", "daemon", from.Name, "err", err)
 		return
 	}
-	rows := make([]platform.Row, 0, len(message.Rows))
+	changes := make([]serverChange, 0, len(message.Rows))
 	for _, row := range message.Rows {
-		rows = append(rows, platform.Row{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
+		changes = append(changes, serverChange{
+			Row:     platform.Row{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted},
+			dropped: row.Dropped,
+		})
 	}
-	gateway.applyServers(time.Now(), rows, from.Name)
+	gateway.applyServers(time.Now(), changes, from.Name)
 }
--- a/io/lwtgateway/store.go
+++ b/io/lwtgateway/store.go
@@ -199,45 +199,66 @@
 }
 
 func (gateway *Gateway) changeServers(now time.Time, rows []platform.Row) {
-	gateway.notifyServers(gateway.applyServers(now, rows, "change"))
+	changes := make([]serverChange, 0, len(rows))
+	for _, row := range rows {
+		changes = append(changes, serverChange{Row: row})
+	}
+	gateway.notifyServers(gateway.applyServers(now, changes, "change"))
 }
 
 // applyServers takes in changed entries and returns those that change what the
 // daemon does: a heartbeat alone does not.
-func (gateway *Gateway) applyServers(now time.Time, rows []platform.Row, source string) (newer []platform.Row) {
+func (gateway *Gateway) applyServers(now time.Time, changes []serverChange, source string) (applied []serverChange) {
 	gateway.view.updateRoster(func(roster lwtroster.Roster) lwtroster.Roster {
-		for _, row := range rows {
-			if row.Version <= gateway.serverRows[row.Key] {
+		for _, change := range changes {
+			// That a removal is final may be learned after the removal.
+			known := gateway.serverRows[change.Key]
+			if change.Version < known || change.Version == known && !change.dropped {
 				continue
 			}
-			gateway.serverRows[row.Key] = row.Version
+			gateway.serverRows[change.Key] = change.Version
 			var changed bool
-			if roster, changed = gateway.applyServer(now, roster, row, source); changed {
-				newer = append(newer, row)
+			if roster, changed = gateway.applyServer(now, roster, change, source); changed {
+				_, kept := roster.Server(change.Key)
+				change.dropped = !kept
+				applied = append(applied, change)
 			}
 		}
 		return roster
 	})
-	return newer
+	return applied
 }
 
-func (gateway *Gateway) applyServer(now time.Time, roster lwtroster.Roster, row platform.Row, source string) (lwtroster.Roster, bool) {
+func (gateway *Gateway) applyServer(
+	now time.Time, roster lwtroster.Roster, change serverChange, source string,
+) (lwtroster.Roster, bool) {
 	server, ok := lwtroster.Server{}, false
-	if !row.Deleted {
-		server, ok = gateway.decodeServer(row)
+	if !change.Deleted {
+		server, ok = gateway.decodeServer(change.Row)
 	}
-	known, found := roster.Server(row.Key)
+	known, found := roster.Server(change.Key)
 	if !ok {
-		if found {
-			lwtlog.Info(gateway.logger, "server-unlisted", "server", row.Key, "row-version", row.Version, "source", source)
-		}
-		return roster.WithoutEntry(now, row.Key), found
+		return gateway.removeServer(now, roster, change, source), found
 	}
 	changed := !found || !known.SameRun(server) || known.Leaving != server.Leaving || known.Stage != server.Stage
 	gateway.logServers(roster, []lwtroster.Server{server}, source)
 	return roster.WithEntry(server), changed
 }
 
+// removeServer removes a server without an entry.
+func (gateway *Gateway) removeServer(now time.Time, roster lwtroster.Roster, change serverChange, source string) lwtroster.Roster {
+	if _, found := roster.Server(change.Key); !found {
+		return roster
+	}
+	next := roster.WithoutEntry(now, change.Key)
+	if change.dropped {
+		next = roster.WithoutServer(change.Key)
+	}
+	_, kept := next.Server(change.Key)
+	lwtlog.Info(gateway.logger, "server-unlisted", "server", change.Key, "row-version", change.Version, "kept", kept, "source", source)
+	return next
+}
+
 // logServers logs the servers that differ from what the roster holds.
 func (gateway *Gateway) logServers(roster lwtroster.Roster, servers []lwtroster.Server, source string) {
 	for _, server := range servers {
