--- a/core/lwtcourse/message.go
+++ b/core/lwtcourse/message.go
@@ -35,6 +35,8 @@
 	Outcome lwtretry.Outcome
 	// Begun says that a part of the answer has reached the caller.
 	Begun bool
+	// Spoilt says that what has reached the caller cannot be completed by any run.
+	Spoilt bool
 	// LastEvent is the id of the last event passed on to the caller.
 	LastEvent string
 	Reason    string
@@ -141,7 +143,7 @@
 		course.resumeAfter = message.LastEvent
 	}
 	// A part of a body without events cannot be joined with another answer.
-	if course.begun && course.route.Repeat != lwtroute.Resume {
+	if course.begun && (message.Spoilt || course.route.Repeat != lwtroute.Resume) {
 		return course.give(badGateway, course.reason)
 	}
 	return course.again(now, message.Outcome)
--- a/core/lwtplace/engine.go
+++ b/core/lwtplace/engine.go
@@ -30,6 +30,7 @@
 	// avoidUntil keeps work away from an engine that failed.
 	avoidUntil time.Time
 	failures   int
+	pause      pause
 	// changing says that an order changes the engine's stage now.
 	changing bool
 }
--- a/core/lwtplace/place.go
+++ b/core/lwtplace/place.go
@@ -106,7 +106,7 @@
 func (model *Model) Place(now time.Time, demand Demand) (Choice, *Refusal) {
 	run := model.pickRun(now, demand)
 	if run == nil {
-		return Choice{}, &Refusal{Reason: "no-decode-engine", RetryAfter: noEngineRetry}
+		return Choice{}, model.refuseAll(now)
 	}
 	if refusal := model.refuseRun(now, run); refusal != nil {
 		return Choice{}, refusal
@@ -205,7 +205,7 @@
 	key := hash(demand.Request.SharedKey())
 	home := model.home(key, stage)
 	for _, engine := range model.order {
-		if engine.server.Stage != stage || !engine.usable(demand) {
+		if engine.server.Stage != stage || !engine.usable(now, demand) {
 			continue
 		}
 		cached := engine == home || now.Sub(engine.parts[key]) < partMemory
@@ -253,8 +253,22 @@
 	return best
 }
 
-func (engine *engine) usable(demand Demand) bool {
-	return !engine.server.Leaving && !engine.changing && !demand.Excluded[engine.server.ID]
+func (engine *engine) usable(now time.Time, demand Demand) bool {
+	return !engine.server.Leaving && !engine.changing && !engine.pause.holds(now) && !demand.Excluded[engine.server.ID]
+}
+
+// refuseAll refuses a request that no engine can run.
+func (model *Model) refuseAll(now time.Time) *Refusal {
+	var paused time.Time
+	for _, engine := range model.order {
+		if engine.server.Stage != lwtroster.Prefill && !engine.server.Leaving {
+			paused = engine.pause.earlier(now, paused)
+		}
+	}
+	if refusal := pauseRefusal(now, paused); refusal != nil {
+		return refusal
+	}
+	return &Refusal{Reason: "no-decode-engine", RetryAfter: noEngineRetry}
 }
 
 // avoided reports whether an engine has failed lately. It is used only when no
@@ -292,7 +306,7 @@
 	var best *engine
 	least := 0
 	for _, engine := range model.order {
-		if engine.server.Stage == lwtroster.Prefill || !engine.usable(demand) {
+		if engine.server.Stage == lwtroster.Prefill || !engine.usable(now, demand) {
 			continue
 		}
 		running := engine.running(now)
--- a/core/lwtplace/service.go
+++ b/core/lwtplace/service.go
@@ -21,6 +21,7 @@
 	active  int
 	peers   peerLoads
 	breaker lwtretry.Breaker
+	pause   pause
 }
 
 // NewPool returns a pool without servers. Zone is the daemon's availability zone.
@@ -42,14 +43,22 @@
 	pool.members = members
 }
 
+// noServerRetry is when to come back if a service has no server.
+const noServerRetry = 500 * time.Millisecond
+
 // Place chooses a server. Start rotates among equals.
-func (pool *Pool) Place(now time.Time, excluded map[string]bool, start int) (lwtroster.Server, bool) {
+func (pool *Pool) Place(now time.Time, excluded map[string]bool, start int) (lwtroster.Server, *Refusal) {
+	var paused time.Time
 	candidates := make([]lwtretry.Server, 0, len(pool.order))
 	byAddress := map[string]*member{}
 	for _, member := range pool.order {
 		if excluded[member.server.ID] {
 			continue
 		}
+		if member.pause.holds(now) {
+			paused = member.pause.earlier(now, paused)
+			continue
+		}
 		byAddress[member.server.Address] = member
 		candidates = append(candidates, lwtretry.Server{
 			Address: member.server.Address, Near: true, Draining: member.server.Leaving,
@@ -57,9 +66,19 @@
 		})
 	}
 	for _, address := range lwtretry.Order(now, candidates, start) {
-		return byAddress[address].server, true
+		return byAddress[address].server, nil
+	}
+	if refusal := pauseRefusal(now, paused); refusal != nil {
+		return lwtroster.Server{}, refusal
+	}
+	return lwtroster.Server{}, &Refusal{Reason: "no-server", RetryAfter: noServerRetry}
+}
+
+// Pause keeps requests away from a server for as long as it asks for.
+func (pool *Pool) Pause(now time.Time, id string, span time.Duration) {
+	if member, found := pool.members[id]; found {
+		member.pause = member.pause.extended(now, span)
 	}
-	return lwtroster.Server{}, false
 }
 
 // load weighs a server in another availability zone as one request more.
@@ -102,3 +121,9 @@
 func (pool *Pool) ApplyReport(now time.Time, daemon string, report Report) {
 	applyReport(now, daemon, report, pool.members, func(member *member) *peerLoads { return &member.peers })
 }
+
+// Paused reports whether a server wants no request now.
+func (pool *Pool) Paused(now time.Time, id string) bool {
+	member, found := pool.members[id]
+	return found && member.pause.holds(now)
+}
--- a/core/lwtplace/track.go
+++ b/core/lwtplace/track.go
@@ -116,6 +116,19 @@
 	}
 }
 
+// Pause keeps requests away from an engine for as long as it asks for.
+func (model *Model) Pause(now time.Time, id string, span time.Duration) {
+	if engine, found := model.engines[id]; found {
+		engine.pause = engine.pause.extended(now, span)
+	}
+}
+
+// Paused reports whether an engine wants no request now.
+func (model *Model) Paused(now time.Time, id string) bool {
+	engine, found := model.engines[id]
+	return found && engine.pause.holds(now)
+}
+
 // Succeeded notes that an engine answered.
 func (model *Model) Succeeded(id string) {
 	if engine, found := model.engines[id]; found {
--- a/core/lwtroster/roster.go
+++ b/core/lwtroster/roster.go
@@ -66,16 +66,55 @@
 	servers map[string]Server
 	// missing holds the time at which a server without an entry is dropped.
 	missing map[string]time.Time
-	// outageEnd is when the store last answered after an outage.
-	outageEnd time.Time
+	// outage is the last time during which the store did not answer this daemon.
+	outage Outage
+	// said holds the start of the servers whose answers say that they leave.
+	said map[string]time.Time
 }
 
-// WithOutageEnd notes that the store answers again after an outage.
-func (roster Roster) WithOutageEnd(now time.Time) Roster {
-	roster.outageEnd = now
+// Outage is a time during which the store did not answer a daemon.
+type Outage struct {
+	// Start is when the store last answered before, End when it answered again.
+	Start time.Time
+	End   time.Time
+}
+
+// WithOutage notes that the store answers again after an outage.
+func (roster Roster) WithOutage(outage Outage) Roster {
+	roster.outage = outage
 	return roster
 }
 
+// Contact is a time during which the store has answered a daemon without a gap in
+// which an entry could lapse.
+type Contact struct {
+	Since time.Time
+	Until time.Time
+}
+
+// covers reports whether the store was there all through an outage of another daemon.
+func (contact Contact) covers(outage Outage) bool {
+	return !outage.End.IsZero() && !contact.Since.After(outage.Start) && !contact.Until.Before(outage.End)
+}
+
+// WithContact returns the roster after another daemon has told of its contact with
+// the store. If that covers this daemon's last outage, the store was never away, no
+// entry has lapsed because of it, and servers without one are gone. Ended reports
+// whether there was any.
+func (roster Roster) WithContact(contact Contact) (next Roster, ended []string) {
+	if !contact.covers(roster.outage) {
+		return roster, nil
+	}
+	next = roster.copy()
+	next.outage = Outage{}
+	for id := range roster.missing {
+		delete(next.servers, id)
+		delete(next.missing, id)
+		ended = append(ended, id)
+	}
+	return next, ended
+}
+
 // WithEntry returns the roster with a new or changed server. An entry older
 // than the one that is known is ignored.
 func (roster Roster) WithEntry(server Server) Roster {
@@ -83,11 +122,51 @@
 		return roster
 	}
 	next := roster.copy()
+	if started, said := next.said[server.ID]; said && started.Equal(server.Started) {
+		server.Leaving = true
+	} else {
+		delete(next.said, server.ID)
+	}
 	next.servers[server.ID] = server
 	delete(next.missing, server.ID)
 	return next
 }
 
+// WithLeaving returns the roster after an answer of a server, which was started at
+// a time, said that it leaves. This holds until the server starts again, whatever
+// its entry says. News reports whether that was not known.
+func (roster Roster) WithLeaving(id string, started time.Time) (next Roster, news bool) {
+	if before, said := roster.said[id]; said && before.Equal(started) {
+		return roster, false
+	}
+	next = roster.copy()
+	next.forgetSaid()
+	next.said[id] = started
+	known, found := roster.servers[id]
+	if !found || !known.Started.Equal(started) {
+		return next, false
+	}
+	news = !known.Leaving
+	known.Leaving = true
+	next.servers[id] = known
+	return next, news
+}
+
+// maxSaid bounds the servers that are remembered as leaving although they are not
+// listed: their entries may come back after an outage of the store.
+const maxSaid = 1024
+
+func (roster Roster) forgetSaid() {
+	if len(roster.said) < maxSaid {
+		return
+	}
+	for id := range roster.said {
+		if _, listed := roster.servers[id]; !listed {
+			delete(roster.said, id)
+		}
+	}
+}
+
 // WithoutServer returns the roster without a server.
 func (roster Roster) WithoutServer(id string) Roster {
 	if _, found := roster.servers[id]; !found {
@@ -107,10 +186,27 @@
 	if !found {
 		return roster
 	}
-	end := roster.outageEnd.Add(ReturnGrace)
+	end := roster.outage.End.Add(ReturnGrace)
 	if !now.Before(end) || server.Leaving {
 		return roster.WithoutServer(id)
 	}
+	return roster.withMissing(id, end)
+}
+
+// WithLapse returns the roster after another daemon has told that the entry of a
+// server was removed and may have lapsed only because the store was away.
+func (roster Roster) WithLapse(now time.Time, id string) Roster {
+	server, found := roster.servers[id]
+	switch {
+	case !found:
+		return roster
+	case server.Leaving:
+		return roster.WithoutServer(id)
+	}
+	return roster.withMissing(id, now.Add(ReturnGrace))
+}
+
+func (roster Roster) withMissing(id string, end time.Time) Roster {
 	next := roster.copy()
 	if _, noted := next.missing[id]; !noted {
 		next.missing[id] = end
@@ -170,7 +266,13 @@
 }
 
 func (roster Roster) copy() Roster {
-	next := Roster{servers: make(map[string]Server, len(roster.servers)+1), missing: map[string]time.Time{}, outageEnd: roster.outageEnd}
+	next := Roster{
+		servers: make(map[string]Server, len(roster.servers)+1), missing: map[string]time.Time{}, outage: roster.outage,
+		said: make(map[string]time.Time, len(roster.said)),
+	}
+	for id, started := range roster.said {
+		next.said[id] = started
+	}
 	for id, server := range roster.servers {
 		next.servers[id] = server
 	}
--- a/core/lwtroster/roster_test.go
+++ b/core/lwtroster/roster_test.go
@@ -18,7 +18,7 @@
 func TestLapsedDuringOutage(t *testing.T) {
 	roster := lwtroster.Roster{}.WithEntry(server("a", 1)).WithEntry(server("b", 1)).WithEntry(server("c", 1))
 	back := start.Add(time.Minute)
-	roster = roster.WithOutageEnd(back).WithEntries(back, []lwtroster.Server{server("c", 2)})
+	roster = roster.WithOutage(lwtroster.Outage{Start: back.Add(-5 * time.Second), End: back}).WithEntries(back, []lwtroster.Server{server("c", 2)})
 	if len(roster.Servers()) != 3 {
 		t.Fatalf("%d servers right after the outage, want 3", len(roster.Servers()))
 	}
@@ -41,7 +41,7 @@
 // store although it is known to have left, and against one that stays noted as
 // missing and is dropped when it is listed again.
 func TestDroppedIsNotKept(t *testing.T) {
-	roster := lwtroster.Roster{}.WithEntry(server("a", 1)).WithOutageEnd(start).WithoutEntry(start, "a")
+	roster := lwtroster.Roster{}.WithEntry(server("a", 1)).WithOutage(lwtroster.Outage{Start: start.Add(-5 * time.Second), End: start}).WithoutEntry(start, "a")
 	if _, kept := roster.Server("a"); !kept {
 		t.Fatal("a server whose entry may have lapsed is not kept")
 	}
@@ -59,7 +59,7 @@
 func TestLeavingIsNotKept(t *testing.T) {
 	leaving := server("a", 1)
 	leaving.Leaving = true
-	roster := lwtroster.Roster{}.WithOutageEnd(start).WithEntry(leaving).WithoutEntry(start.Add(time.Second), "a")
+	roster := lwtroster.Roster{}.WithOutage(lwtroster.Outage{Start: start.Add(-5 * time.Second), End: start}).WithEntry(leaving).WithoutEntry(start.Add(time.Second), "a")
 	if len(roster.Servers()) != 0 {
 		t.Error("a leaving server is kept after its entry was removed")
 	}
@@ -81,3 +81,59 @@
 		t.Error("an entry of the run before replaces that of the new run")
 	}
 }
+
+// TestOwnOutage guards against a server that is kept as one whose entry may have
+// lapsed although the store was there for another daemon all the while, and against
+// one that is dropped because of a daemon which cannot know that.
+func TestOwnOutage(t *testing.T) {
+	outage := lwtroster.Outage{Start: start.Add(-6 * time.Second), End: start}
+	before := lwtroster.Roster{}.WithEntry(server("a", 1)).WithEntry(server("b", 1)).WithOutage(outage)
+	for _, test := range []struct {
+		name         string
+		since, until time.Duration
+		kept         bool
+	}{
+		{"all through", -time.Minute, 100 * time.Millisecond, false},
+		{"until the outage", -time.Minute, -5 * time.Second, true},
+		{"from within the outage", -3 * time.Second, time.Second, true},
+	} {
+		contact := lwtroster.Contact{Since: start.Add(test.since), Until: start.Add(test.until)}
+		late, _ := before.WithoutEntry(start, "a").WithContact(contact)
+		early, _ := before.WithContact(contact)
+		early = early.WithoutEntry(start, "a")
+		for order, roster := range map[string]lwtroster.Roster{"after": late, "before": early} {
+			if _, kept := roster.Server("a"); kept != test.kept {
+				t.Errorf("%s, told %s the removal: kept %v, want %v", test.name, order, kept, test.kept)
+			}
+			if _, kept := roster.Server("b"); !kept {
+				t.Errorf("%s: a listed server is dropped", test.name)
+			}
+		}
+	}
+}
+
+// TestSaidToLeave guards against an entry that takes back what a server's answers
+// say, and against a server that is left out after its restart.
+func TestSaidToLeave(t *testing.T) {
+	roster, news := lwtroster.Roster{}.WithEntry(server("a", 1)).WithLeaving("a", start)
+	if !news {
+		t.Error("a server that leaves is no news")
+	}
+	lapsed := roster.WithoutServer("a").WithEntry(server("a", 5))
+	for name, roster := range map[string]lwtroster.Roster{"listed again": roster.WithEntry(server("a", 2)), "after a lapse": lapsed} {
+		if known, _ := roster.Server("a"); !known.Leaving {
+			t.Errorf("%s: an entry takes back that the server leaves", name)
+		}
+	}
+	reborn := server("a", 1)
+	reborn.Started = start.Add(time.Second)
+	roster = roster.WithEntry(reborn)
+	if known, _ := roster.Server("a"); known.Leaving {
+		t.Error("a server is left out after its restart")
+	}
+	// An answer of the run before that comes late.
+	roster, _ = roster.WithLeaving("a", start)
+	if known, _ := roster.Server("a"); known.Leaving {
+		t.Error("an answer of the run before leaves the server out")
+	}
+}
--- a/io/lwtgateway/attempt.go
+++ b/io/lwtgateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -11,6 +12,7 @@
 	"lacewingtide/core/lwtcourse"
 	"lacewingtide/core/lwtplace"
 	"lacewingtide/core/lwtretry"
+	"lacewingtide/core/lwtroster"
 	"lacewingtide/core/lwtroute"
 	"lacewingtide/io/lwthttp"
 	"lacewingtide/io/lwtlog"
@@ -25,6 +27,9 @@
 	anyIdle = time.Minute
 	// maxControlBody bounds the answers of engines that are meant for the daemon.
 	maxControlBody = 64 << 10
+	// refusalBodyTime is how long the body of a refusal may take. It holds up the
+	// next attempt and only saves a connection.
+	refusalBodyTime = 50 * time.Millisecond
 	// basePriority is the rank of the most urgent route's requests at an engine.
 	basePriority  = 2
 	spillPriority = 9
@@ -91,7 +96,7 @@
 func (call *call) sendPrefill() (handle string, outcome lwtretry.Outcome, err error) {
 	server := call.place.choice.Prefill
 	head := call.headFor(server.ID, call.gateway.wire.AppendPrefill)
-	answer, outcome, err := call.exchangeWith(server.Address, anyIdle, head, false)
+	answer, outcome, err := call.exchangeWith(server, anyIdle, head, false)
 	if err != nil {
 		return "", outcome, err
 	}
@@ -107,17 +112,19 @@
 	return handle, lwtretry.Unknown, err
 }
 
-// exchangeWith sends the request to an address and reads the head of the answer.
+// exchangeWith sends the request to a server and reads the head of the answer.
 func (call *call) exchangeWith(
-	address string, maxIdle time.Duration, head []byte, sealed bool,
+	server lwtroster.Server, maxIdle time.Duration, head []byte, sealed bool,
 ) (*lwthttp.Answer, lwtretry.Outcome, error) {
-	conn, err := call.gateway.pool.Get(call.context, address, maxIdle)
+	conn, err := call.gateway.pool.Get(call.context, server.Address, call.request.ID, maxIdle)
 	if err != nil {
 		return nil, lwtretry.NotSent, err
 	}
-	answer, err := conn.Send(call.context, head, call.exchange.Body, call.course.End(), func(header *fasthttp.ResponseHeader) bool {
-		return call.ownAnswer(header, sealed)
-	})
+	judge := func(header *fasthttp.ResponseHeader) lwthttp.Verdict { return call.judge(header, sealed, conn.Reused) }
+	answer, err := conn.Send(call.context, head, call.exchange.Body, call.course.End(), judge)
+	if err == nil {
+		call.gateway.noteAnswer(server, call.request.ID, &answer.Header)
+	}
 	switch {
 	case errors.Is(err, lwthttp.ErrNotSent):
 		return nil, lwtretry.NotSent, err
@@ -127,12 +134,19 @@
 	return answer, lwtretry.Done, nil
 }
 
-// ownAnswer reports whether an answer belongs to this request. Refusals of a
-// server may name no request.
-func (call *call) ownAnswer(header *fasthttp.ResponseHeader, sealed bool) bool {
+// judge says to which request an answer belongs. Refusals of a server may name no
+// request; on a connection that has carried another one, they may be answers to that.
+func (call *call) judge(header *fasthttp.ResponseHeader, sealed, reused bool) lwthttp.Verdict {
 	id := call.gateway.wire.AnswerID(header)
-	needsID := sealed && header.StatusCode() < fasthttp.StatusMultipleChoices
-	return id == call.request.ID || id == "" && !needsID
+	switch {
+	case id == call.request.ID:
+		return lwthttp.Own
+	case id != "" || sealed && header.StatusCode() < fasthttp.StatusMultipleChoices:
+		return lwthttp.Stray
+	case reused:
+		return lwthttp.Unclear
+	}
+	return lwthttp.Own
 }
 
 // send sends the request to the server that runs it.
@@ -144,7 +158,7 @@
 	if call.route.Repeat == lwtroute.Always {
 		maxIdle = anyIdle
 	}
-	answer, outcome, err := call.exchangeWith(server.Address, maxIdle, head, true)
+	answer, outcome, err := call.exchangeWith(server, maxIdle, head, true)
 	if err != nil {
 		call.ended(outcome != lwtretry.Refused && call.context.Err() == nil)
 		if outcome != lwtretry.NotSent {
@@ -193,6 +207,7 @@
 	if !call.place.engine || call.handle == "" || misdirected {
 		call.excluded[call.place.server.ID] = true
 	}
+	call.answer.EndBy(time.Now().Add(refusalBodyTime))
 	if _, err := call.answer.Drain(maxControlBody); err != nil {
 		call.gateway.metrics.Count("refusal-broken")
 	}
@@ -257,6 +272,12 @@
 	case call.context.Err() != nil, lwthttp.Timeout(err) && !time.Now().Before(call.course.End()):
 		return lwtcourse.TimedOut{Begun: call.exchange.Begun()}
 	}
+	server := call.place.server.ID
+	if where == "prefill" {
+		server = call.place.choice.Prefill.ID
+	}
+	lwtlog.Info(call.gateway.logger, "attempt-failed", "request", call.request.ID, "server", server, "step", where,
+		"outcome", outcome.String(), "begun", call.exchange.Begun(), "err", err)
 	return lwtcourse.Failed{
 		Outcome: outcome, Begun: call.exchange.Begun(), Reason: where + "-" + outcome.String(),
 	}
@@ -270,21 +291,32 @@
 	}
 }
 
-// control makes a call of the daemon's own to a server.
+// control makes a call of the daemon's own to a server. Its answer names no request,
+// so it gets a connection of its own on which no other answer can arrive.
 func (gateway *Gateway) control(ctx context.Context, address string, head, body []byte) (status int, content []byte, err error) {
-	conn, err := gateway.pool.Get(ctx, address, anyIdle)
+	server, listed := gateway.view.serverAt(address)
+	if listed && gateway.view.paused(time.Now(), server) {
+		return 0, nil, errPaused
+	}
+	conn, err := gateway.pool.Dial(ctx, address)
 	if err != nil {
 		return 0, nil, err
 	}
 	deadline := time.Now().Add(controlTimeout)
-	answer, err := conn.Send(ctx, head, body, deadline, func(*fasthttp.ResponseHeader) bool { return true })
+	answer, err := conn.Send(ctx, head, body, deadline, func(*fasthttp.ResponseHeader) lwthttp.Verdict { return lwthttp.Own })
 	if err != nil {
 		return 0, nil, err
 	}
-	defer func() { answer.Settle(time.Now()) }()
+	defer answer.Discard()
+	if listed {
+		gateway.noteAnswer(server, "", &answer.Header)
+	}
 	content, err = answer.Drain(maxControlBody)
 	return answer.Header.StatusCode(), content, err
 }
 
+// errPaused reports a call that was not made because its server wants none now.
+var errPaused = fmt.Errorf("the server wants no request now")
+
 // controlTimeout bounds a call of the daemon's own to a server.
 const controlTimeout = time.Second
--- a/io/lwtgateway/deliver.go
+++ b/io/lwtgateway/deliver.go
@@ -14,9 +14,18 @@
 	"lacewingtide/io/lwthttp"
 )
 
-// wholeBody bounds the answers that are read whole before they are passed on.
-// Larger ones are passed on in pieces.
-const wholeBody = 256 << 10
+// Bounds of answers. A server in trouble may send bytes without end.
+const (
+	// wholeBody bounds the answers that are read whole before they are passed on.
+	// Larger ones are passed on in pieces.
+	wholeBody = 256 << 10
+	// maxAnswerBytes bounds an answer: far more than any known one, and less than
+	// the link of a small VM carries within a caller's deadline.
+	maxAnswerBytes = 8 << 20
+	// spareEvents is the number of events beyond one for each token that a stream
+	// may have.
+	spareEvents = 64
+)
 
 type statusError int
 
@@ -64,19 +73,28 @@
 	message := call.failure(lwtretry.Unknown, "answer", err)
 	if failed, ok := message.(lwtcourse.Failed); ok {
 		failed.LastEvent = event
+		if errors.Is(err, errEndless) {
+			failed.Reason, failed.Spoilt = "answer-without-end", failed.Begun
+		}
 		return failed
 	}
 	return message
 }
 
+// errEndless reports an answer that is longer than any sound one.
+var errEndless = fmt.Errorf("answer without end")
+
 // passPieces passes on a large body. Start is what was read of it.
 func (call *call) passPieces(status int, start []byte) any {
 	if call.exchange.Begin(status, call.answer.ForwardHead()) != nil || call.exchange.Write(start) != nil {
 		return lwtcourse.CallerGone{}
 	}
 	buffer := make([]byte, 32<<10)
-	for {
+	for passed := len(start); ; {
 		n, err := call.answer.Read(buffer)
+		if passed += n; passed > maxAnswerBytes {
+			return call.broken(errEndless, "")
+		}
 		if n > 0 && call.exchange.Write(buffer[:n]) != nil {
 			return lwtcourse.CallerGone{}
 		}
@@ -104,19 +122,22 @@
 func (call *call) passEvents() any {
 	var pending []byte
 	last := ""
+	events, passed := 0, 0
 	buffer := make([]byte, 4<<10)
 	for {
 		n, err := call.answer.Read(buffer)
+		searched := max(len(pending)-1, 0)
 		pending = append(pending, buffer[:n]...)
 		complete := errors.Is(err, io.EOF) && call.answer.Complete()
-		whole := bytes.LastIndex(pending, []byte("\n\n")) + len("\n\n")
-		if whole < len("\n\n") {
-			whole = 0
-		}
+		whole := wholeEvents(pending, searched)
 		if complete {
 			whole = len(pending)
 		}
 		if whole > 0 {
+			events += bytes.Count(pending[:whole], eventEnd)
+			if passed += whole; call.endless(events, passed) {
+				return call.broken(errEndless, last)
+			}
 			if !call.passEvent(pending[:whole]) {
 				return lwtcourse.CallerGone{}
 			}
@@ -129,11 +150,30 @@
 		case err != nil:
 			return call.broken(err, last)
 		case len(pending) > maxEventBytes:
-			return call.broken(lwthttp.ErrBodyTooLarge, last)
+			return call.broken(errEndless, last)
 		}
 	}
 }
 
+// eventEnd ends each event of a stream.
+var eventEnd = []byte("\n\n")
+
+// wholeEvents returns the length of the whole events at the start of pending, of
+// which no event ends before searched.
+func wholeEvents(pending []byte, searched int) int {
+	if at := bytes.LastIndex(pending[searched:], eventEnd); at >= 0 {
+		return searched + at + len(eventEnd)
+	}
+	return 0
+}
+
+// endless reports whether a stream is longer than the request asked for. Each
+// event carries at least one token.
+func (call *call) endless(events, bytes int) bool {
+	asked := call.request.OutputTokens
+	return bytes > maxAnswerBytes || asked > 0 && events > asked+spareEvents
+}
+
 func (call *call) endEvents() any {
 	if !call.exchange.Begun() && !call.begin() {
 		return lwtcourse.CallerGone{}
--- a/io/lwtgateway/exchange.go
+++ b/io/lwtgateway/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lacewingtide/core/lwtplace"
+	"lacewingtide/core/lwtroster"
 	"lacewingtide/io/lwtlog"
 	"lacewingtide/io/lwtpeer"
 )
@@ -41,8 +42,28 @@
 	Changing []string `cbor:"5,keyasint,omitempty"`
 	// Entry is where callers send requests to the sender (IP:port).
 	Entry string `cbor:"6,keyasint,omitempty"`
+	// ContactSince and ContactUntil are how many milliseconds ago the sender's
+	// contact with the store began and was last seen. Both are 0 when there is none.
+	ContactSince int64 `cbor:"8,keyasint,omitempty"`
+	ContactUntil int64 `cbor:"9,keyasint,omitempty"`
 }
 
+// withContact returns the state with the sender's contact with the store.
+func (state daemonState) withContact(now time.Time, contact lwtroster.Contact) daemonState {
+	state.ContactSince = max(now.Sub(contact.Since).Milliseconds(), 1)
+	state.ContactUntil = max(now.Sub(contact.Until).Milliseconds(), 1)
+	return state
+}
+
+// contact returns the sender's contact with the store, by this daemon's clock.
+func (state daemonState) contact(now time.Time) (contact lwtroster.Contact, known bool) {
+	return lwtroster.Contact{
+		Since: now.Add(-time.Duration(state.ContactSince) * time.Millisecond),
+		Until: now.Add(-time.Duration(state.ContactUntil) * time.Millisecond),
+	}, state.ContactSince > 0
+}
+
+// equal compares what other daemons act on at once.
 func (state daemonState) equal(other daemonState) bool {
 	return state.Ready == other.Ready && state.Config == other.Config && state.Ordering == other.Ordering &&
 		state.Entry == other.Entry && slices.Equal(state.Changing, other.Changing)
@@ -168,6 +189,9 @@
 	config, _ := gateway.view.configuration()
 	state := daemonState{Ready: gateway.serving(), Config: config.Version, Entry: gateway.settings.EntryAddress}
 	state.Ordering, state.Changing = gateway.orders.state()
+	if follower := gateway.serversFollower.Load(); follower != nil && follower.contact.Load() != nil {
+		state = state.withContact(time.Now(), *follower.contact.Load())
+	}
 	return state
 }
 
@@ -184,6 +208,9 @@
 	if config, _ := gateway.view.configuration(); message.Config > config.Version {
 		gateway.requestConfig(now, from.Name)
 	}
+	if contact, known := message.contact(now); known {
+		gateway.noteContact(contact, from.Name)
+	}
 	report := lwtplace.Report{Whole: message.Whole, Loads: make(map[string]lwtplace.Load, len(message.Loads))}
 	for id, load := range message.Loads {
 		report.Loads[id] = lwtplace.Load{PrefillTime: time.Duration(load[0]) * time.Microsecond, Running: int(load[1])}
--- a/io/lwtgateway/gateway.go
+++ b/io/lwtgateway/gateway.go
@@ -44,7 +44,8 @@
 
 	// serverRows holds the newest version of each server's row that was seen. It
 	// is used under the lock of the view.
-	serverRows map[string]int64
+	serverRows      map[string]int64
+	serversFollower atomic.Pointer[follower]
 	// configRequested is when the configuration was last requested from another
 	// daemon, in nanoseconds since 1970.
 	configRequested atomic.Int64
--- /dev/null
+++ b/io/lwtgateway/server_answers.go
@@ -0,0 +1,60 @@
+package lwtgateway
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"lacewingtide/core/lwtroster"
+	"lacewingtide/io/lwtlog"
+)
+
+// noteAnswer takes in what the head of an answer says of its server. Request is
+// empty for calls of the daemon's own.
+func (gateway *Gateway) noteAnswer(server lwtroster.Server, request string, header *fasthttp.ResponseHeader) {
+	if gateway.wire.Leaving(header) && gateway.view.setLeaving(server.ID, server.Started) {
+		gateway.logLeaving(server.ID, server.Started, request, "answer")
+		gateway.notifyLeaving(server)
+	}
+	if span := gateway.wire.Pause(header); span > 0 {
+		gateway.view.pause(time.Now(), server, span)
+		gateway.metrics.Count("server-pauses")
+		lwtlog.Info(gateway.logger, "server-pause", "server", server.ID, "request", request, "span", span)
+	}
+}
+
+func (gateway *Gateway) logLeaving(id string, started time.Time, request, source string) {
+	gateway.metrics.Count("servers-leaving")
+	lwtlog.Info(gateway.logger, "server-leaving", "server", id, "started", started.UnixMilli(), "request", request, "source", source)
+}
+
+// leavingServer names a server whose answers say that it leaves.
+type leavingServer struct {
+	ID string `cbor:"1,keyasint"`
+	// Started is the server's start in milliseconds since 1970, by its own clock.
+	Started int64 `cbor:"2,keyasint"`
+}
+
+// notifyLeaving tells the other daemons of a server that leaves.
+func (gateway *Gateway) notifyLeaving(server lwtroster.Server) {
+	network := gateway.exchange.open()
+	if network == nil {
+		return
+	}
+	message := serverMessage{Leaving: []leavingServer{{ID: server.ID, Started: server.Started.UnixMilli()}}}
+	// A daemon that misses the message hears it from the server itself.
+	lost, err := network.Broadcast(serverKind, message)
+	if err != nil {
+		lwtlog.Warn(gateway.logger, "servers-not-encoded", "err", err)
+	}
+	gateway.metrics.CountBy("servers-not-sent", lost)
+}
+
+func (gateway *Gateway) handleLeaving(daemon string, servers []leavingServer) {
+	for _, server := range servers {
+		started := time.UnixMilli(server.Started)
+		if gateway.view.setLeaving(server.ID, started) {
+			gateway.logLeaving(server.ID, started, "", daemon)
+		}
+	}
+}
--- a/io/lwtgateway/server_updates.go
+++ b/io/lwtgateway/server_updates.go
@@ -13,7 +13,9 @@
 
 // serverMessage carries entries of backend servers that have changed.
 type serverMessage struct {
-	Rows []serverRow `cbor:"1,keyasint"`
+	Rows []serverRow `cbor:"1,keyasint,omitempty"`
+	// Leaving names servers whose answers say that they leave.
+	Leaving []leavingServer `cbor:"2,keyasint,omitempty"`
 }
 
 // serverChange is a changed entry of a backend server.
@@ -67,4 +69,5 @@
 		})
 	}
 	gateway.applyServers(time.Now(), changes, from.Name)
+	gateway.handleLeaving(from.Name, message.Leaving)
 }
--- a/io/lwtgateway/store.go
+++ b/io/lwtgateway/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"lacewingtide/core/lwtroster"
@@ -59,14 +60,35 @@
 	// read takes in a full read, changed some changes.
 	read    func(now time.Time, rows []platform.Row)
 	changed func(now time.Time, rows []platform.Row)
+	// contact is the time during which the store has answered without a gap. It is
+	// used by other goroutines.
+	contact atomic.Pointer[lwtroster.Contact]
 	// back is called when the store answers again after a failure.
-	back func(now time.Time)
+	back func(outage lwtroster.Outage)
+}
+
+// contactGap is the longest time between two answers of the store in which no
+// entry can lapse: two heartbeats of a server.
+const contactGap = 2300 * time.Millisecond
+
+// answered notes an answer to a call that was sent at a time and returns the contact
+// before it.
+func (follower *follower) answered(sent time.Time) (before lwtroster.Contact) {
+	contact := lwtroster.Contact{Since: sent, Until: sent}
+	if known := follower.contact.Load(); known != nil {
+		before = *known
+		if !follower.failing && sent.Sub(before.Until) <= contactGap {
+			contact.Since = before.Since
+		}
+	}
+	follower.contact.Store(&contact)
+	return before
 }
 
 // poll makes one call and reports whether it was answered.
 func (follower *follower) poll() bool {
-	err := follower.call()
-	now := time.Now()
+	sent := time.Now()
+	take, err := follower.call()
 	switch {
 	case errors.Is(err, platform.ErrHistory):
 		lwtlog.Info(follower.gateway.logger, "store-history-lost", "table", follower.table, "version", follower.version)
@@ -78,23 +100,27 @@
 		}
 		follower.failing = true
 		return false
-	case follower.failing:
+	}
+	before := follower.answered(sent)
+	if follower.failing {
 		follower.failing = false
-		follower.back(now)
+		// What the first answer shows may have come of the outage.
+		follower.back(lwtroster.Outage{Start: before.Until, End: time.Now()})
 		lwtlog.Info(follower.gateway.logger, "store-regained", "table", follower.table, "version", follower.version)
 	}
+	take(time.Now())
 	return true
 }
 
-func (follower *follower) call() error {
+// call reads the table or its changes. Take takes in what was read.
+func (follower *follower) call() (take func(now time.Time), err error) {
 	if follower.version == 0 {
 		rows, version, err := follower.gateway.store.Rows(follower.table, StoreTimeout)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		follower.version = version
-		follower.read(time.Now(), rows)
-		return nil
+		return func(now time.Time) { follower.read(now, rows) }, nil
 	}
 	wait := follower.wait
 	if follower.failing {
@@ -103,13 +129,14 @@
 	}
 	rows, version, err := follower.gateway.store.Changes(follower.table, follower.version, wait, StoreTimeout)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	follower.version = max(version, follower.version)
-	if len(rows) > 0 {
-		follower.changed(time.Now(), rows)
-	}
-	return nil
+	return func(now time.Time) {
+		if len(rows) > 0 {
+			follower.changed(now, rows)
+		}
+	}, nil
 }
 
 // follow polls until ctx ends, with a pause between two calls.
@@ -131,7 +158,7 @@
 	table, _ := platform.ConfigRow()
 	follower := &follower{
 		gateway: gateway, table: table, wait: configWait,
-		read: gateway.readConfigRows, changed: gateway.readConfigRows, back: func(time.Time) {},
+		read: gateway.readConfigRows, changed: gateway.readConfigRows, back: func(lwtroster.Outage) {},
 	}
 	return follower.follow(ctx, func() time.Duration {
 		daemons := gateway.members.count(time.Now())
@@ -145,10 +172,11 @@
 	follower := &follower{
 		gateway: gateway, table: platform.ServersTable(),
 		read: gateway.readServers, changed: gateway.changeServers,
-		back: func(now time.Time) {
-			gateway.view.updateRoster(func(roster lwtroster.Roster) lwtroster.Roster { return roster.WithOutageEnd(now) })
+		back: func(outage lwtroster.Outage) {
+			gateway.view.updateRoster(func(roster lwtroster.Roster) lwtroster.Roster { return roster.WithOutage(outage) })
 		},
 	}
+	gateway.serversFollower.Store(follower)
 	go func() {
 		// The supervisor waits for follow; the expiry ends with it.
 		_ = tick(ctx, minServersInterval, gateway.expireServers)
@@ -271,3 +299,17 @@
 			"source", source)
 	}
 }
+
+// noteContact takes in the contact of another daemon with the store.
+func (gateway *Gateway) noteContact(contact lwtroster.Contact, daemon string) {
+	gateway.view.mutex.Lock()
+	roster, ended := gateway.view.roster.WithContact(contact)
+	gateway.view.roster = roster
+	gateway.view.mutex.Unlock()
+	if len(ended) == 0 {
+		return
+	}
+	gateway.view.updateRoster(func(roster lwtroster.Roster) lwtroster.Roster { return roster })
+	lwtlog.Info(gateway.logger, "servers-gone", "servers", ended, "contact-of", daemon,
+		"since", time.Since(contact.Since).Round(time.Millisecond), "until", time.Since(contact.Until).Round(time.Millisecond))
+}
--- a/io/lwtgateway/view.go
+++ b/io/lwtgateway/view.go
@@ -77,6 +77,17 @@
 	view.rebuild()
 }
 
+// setLeaving notes that the answers of a server say that it leaves. News reports
+// whether that changes what the daemon does.
+func (view *view) setLeaving(id string, started time.Time) (news bool) {
+	view.mutex.Lock()
+	defer view.mutex.Unlock()
+	if view.roster, news = view.roster.WithLeaving(id, started); news {
+		view.rebuild()
+	}
+	return news
+}
+
 // servers returns the backend servers of a service.
 func (view *view) servers(service string) []lwtroster.Server {
 	view.mutex.Lock()
@@ -146,6 +157,14 @@
 	return found && !server.Leaving
 }
 
+// serverAt returns the server at an address.
+func (view *view) serverAt(address string) (lwtroster.Server, bool) {
+	view.mutex.Lock()
+	defer view.mutex.Unlock()
+	server, found := view.byAddr[address]
+	return server, found
+}
+
 // budget is the repeats of one service.
 type budget struct {
 	view    *view
@@ -194,14 +213,11 @@
 	if !found {
 		return place{}, &lwtplace.Refusal{Reason: "unknown-service", RetryAfter: noServerRetry}
 	}
-	server, found := pool.Place(now, demand.Excluded, rand.IntN(1<<16))
-	if !found {
-		return place{}, &lwtplace.Refusal{Reason: "no-server", RetryAfter: noServerRetry}
-	}
-	return place{server: server}, nil
+	server, refusal := pool.Place(now, demand.Excluded, rand.IntN(1<<16))
+	return place{server: server}, refusal
 }
 
-// noServerRetry is when to come back if a service has no server.
+// noServerRetry is when to come back if a service or a configuration is not known.
 const noServerRetry = 500 * time.Millisecond
 
 // onEngines calls update with the model of a service of engines.
@@ -222,6 +238,19 @@
 	}
 }
 
+// pause keeps requests away from a server for as long as it asks for.
+func (view *view) pause(now time.Time, server lwtroster.Server, span time.Duration) {
+	view.onEngines(server.Service, func(model *lwtplace.Model) { model.Pause(now, server.ID, span) })
+	view.onPool(server.Service, func(pool *lwtplace.Pool) { pool.Pause(now, server.ID, span) })
+}
+
+// paused reports whether a server wants no request now.
+func (view *view) paused(now time.Time, server lwtroster.Server) (paused bool) {
+	view.onEngines(server.Service, func(model *lwtplace.Model) { paused = model.Paused(now, server.ID) })
+	view.onPool(server.Service, func(pool *lwtplace.Pool) { paused = pool.Paused(now, server.ID) })
+	return paused
+}
+
 // loads returns what this daemon has in work at all servers.
 func (view *view) loads() map[string]lwtplace.Load {
 	view.mutex.Lock()
--- a/io/lwtgateway/wire.go
+++ b/io/lwtgateway/wire.go
@@ -29,6 +29,11 @@
 	AnswerID(header *fasthttp.ResponseHeader) string
 	// Sealed reports whether an answer bears the server's signature.
 	Sealed(header *fasthttp.ResponseHeader) bool
+	// Leaving reports whether an answer says that its server leaves.
+	Leaving(header *fasthttp.ResponseHeader) bool
+	// Pause returns for how long a server that turned a request away wants no
+	// other, or zero.
+	Pause(header *fasthttp.ResponseHeader) time.Duration
 	DecodePrefill(body []byte) (handle string, err error)
 	HandlePath(handle string) string
 	ReportPath() string
--- a/io/lwthttp/answer.go
+++ b/io/lwthttp/answer.go
@@ -29,18 +29,40 @@
 // read, because a server may answer before it has read all of it.
 const backgroundBody = 32 << 10
 
-// maxStrayAnswers bounds the answers to earlier requests that are skipped.
-const maxStrayAnswers = 2
+// Bounds of what is read before the head of the own answer.
+const (
+	// maxStrayAnswers bounds the answers to earlier requests that are skipped.
+	maxStrayAnswers = 2
+	// maxStrayBytes bounds the body of one of them. Larger ones are not worth
+	// keeping the connection for.
+	maxStrayBytes = 64 << 10
+)
+
+// ErrUnclear reports an answer that may belong to an earlier request.
+var ErrUnclear = fmt.Errorf("an answer that may belong to an earlier request")
+
+// Verdict says to which request an answer belongs.
+type Verdict int
+
+// The verdicts.
+const (
+	// Own is the answer to the request that was sent.
+	Own Verdict = iota
+	// Stray is the answer to an earlier request. It is skipped.
+	Stray
+	// Unclear is an answer that may be either. Nothing is known of the request.
+	Unclear
+)
 
 // Send writes a request and reads the head of its answer. The request must be
-// answered before the deadline; when ctx ends, the connection is closed. Own
-// reports whether an answer belongs to this request. On an error the
+// answered before the deadline; when ctx ends, the connection is closed. Judge
+// says to which request an answer belongs. On an error the
 // connection is closed, and ErrNotSent says that no byte was written.
 func (conn *Conn) Send(
-	ctx context.Context, head, body []byte, deadline time.Time, own func(*fasthttp.ResponseHeader) bool,
+	ctx context.Context, head, body []byte, deadline time.Time, judge func(*fasthttp.ResponseHeader) Verdict,
 ) (*Answer, error) {
 	answer := &Answer{conn: conn, stop: context.AfterFunc(ctx, conn.Close)}
-	if err := answer.exchange(head, body, deadline, own); err != nil {
+	if err := answer.exchange(head, body, deadline, judge); err != nil {
 		answer.stop()
 		conn.Close()
 		return nil, err
@@ -48,7 +70,7 @@
 	return answer, nil
 }
 
-func (answer *Answer) exchange(head, body []byte, deadline time.Time, own func(*fasthttp.ResponseHeader) bool) error {
+func (answer *Answer) exchange(head, body []byte, deadline time.Time, judge func(*fasthttp.ResponseHeader) Verdict) error {
 	conn := answer.conn
 	if err := conn.conn.SetDeadline(deadline); err != nil {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
@@ -64,7 +86,7 @@
 			answer.sent <- err
 		}()
 	}
-	return answer.readHead(own)
+	return answer.readHead(judge)
 }
 
 func sendError(written int, err error) error {
@@ -74,7 +96,7 @@
 	return fmt.Errorf("send request: %w", err)
 }
 
-func (answer *Answer) readHead(own func(*fasthttp.ResponseHeader) bool) error {
+func (answer *Answer) readHead(judge func(*fasthttp.ResponseHeader) Verdict) error {
 	for range maxStrayAnswers + 1 {
 		answer.Header.Reset()
 		answer.Header.DisableNormalizing()
@@ -89,19 +111,29 @@
 			return fmt.Errorf("%w: transfer encoding of an answer", ErrMalformed)
 		}
 		answer.body = newBody(answer.conn.reader, framing{length: answer.length()})
-		if own(&answer.Header) {
+		switch judge(&answer.Header) {
+		case Own:
 			answer.keep = !answer.Header.ConnectionClose()
 			answer.noteKeepAlive()
 			return nil
+		case Unclear:
+			return ErrUnclear
 		}
-		// A late answer to an earlier request: it is read and dropped.
-		if _, err := io.Copy(io.Discard, answer.body); err != nil {
+		if err := answer.skipBody(); err != nil {
 			return fmt.Errorf("read stray answer: %w", err)
 		}
 	}
 	return fmt.Errorf("%w: answers of other requests", ErrMalformed)
 }
 
+// skipBody reads and drops the body of a stray answer.
+func (answer *Answer) skipBody() error {
+	if _, err := io.CopyN(io.Discard, answer.body, maxStrayBytes); !errors.Is(err, io.EOF) {
+		return errors.Join(ErrBodyTooLarge, err)
+	}
+	return nil
+}
+
 func (answer *Answer) length() int {
 	if bodiless(answer.Header.StatusCode()) {
 		return 0
@@ -137,6 +169,18 @@
 	return content, nil
 }
 
+// EndBy ends the exchange at a time earlier than the deadline of Send.
+func (answer *Answer) EndBy(deadline time.Time) {
+	// A connection that takes no deadline is closed; the next read says so.
+	_ = answer.conn.conn.SetDeadline(deadline)
+}
+
+// Discard ends the exchange and closes the connection.
+func (answer *Answer) Discard() {
+	answer.keep = false
+	answer.Settle(time.Time{})
+}
+
 // Settle ends the exchange. The connection is kept for another request if the
 // answer was read to its end, nothing follows it, and the server keeps it.
 func (answer *Answer) Settle(now time.Time) {
--- a/io/lwthttp/http_test.go
+++ b/io/lwthttp/http_test.go
@@ -157,11 +157,16 @@
 
 func send(t *testing.T, pool *lwthttp.Pool, address, id string) (status int, body string, err error) {
 	t.Helper()
-	conn, err := pool.Get(context.Background(), address, time.Minute)
+	conn, err := pool.Get(context.Background(), address, "", time.Minute)
 	if err != nil {
 		return 0, "", err
 	}
-	own := func(header *fasthttp.ResponseHeader) bool { return string(header.Peek("Id")) == id }
+	own := func(header *fasthttp.ResponseHeader) lwthttp.Verdict {
+		if string(header.Peek("Id")) == id {
+			return lwthttp.Own
+		}
+		return lwthttp.Stray
+	}
 	head := []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	answer, err := conn.Send(context.Background(), head, nil, time.Now().Add(time.Second), own)
 	if err != nil {
@@ -172,6 +177,8 @@
 	return answer.Header.StatusCode(), string(content), err
 }
 
+func anyAnswer(*fasthttp.ResponseHeader) lwthttp.Verdict { return lwthttp.Own }
+
 const ok = "HTTP/1.1 200 OK\r\nId: 1\r\n"
 
 // TestAnswers guards against incomplete or foreign answers that look like whole
@@ -206,12 +213,12 @@
 		ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n",
 	} {
 		address := backend(t, answer+closing)
-		conn, err := pool().Get(context.Background(), address, time.Minute)
+		conn, err := pool().Get(context.Background(), address, "", time.Minute)
 		if err != nil {
 			t.Fatal(err)
 		}
 		reply, err := conn.Send(context.Background(), []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"), nil,
-			time.Now().Add(200*time.Millisecond), func(*fasthttp.ResponseHeader) bool { return true })
+			time.Now().Add(200*time.Millisecond), anyAnswer)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -259,11 +266,11 @@
 	address := backend(t)
 	pool := pool()
 	for range 4 {
-		if _, err := pool.Get(context.Background(), address, time.Minute); err != nil {
+		if _, err := pool.Get(context.Background(), address, "", time.Minute); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if _, err := pool.Get(context.Background(), address, time.Minute); !errors.Is(err, lwthttp.ErrTooManyConnections) ||
+	if _, err := pool.Get(context.Background(), address, "", time.Minute); !errors.Is(err, lwthttp.ErrTooManyConnections) ||
 		!errors.Is(err, lwthttp.ErrNotSent) {
 		t.Errorf("fifth connection: %v", err)
 	}
@@ -293,12 +300,12 @@
 	}()
 	pool, body := pool(), bytes.Repeat([]byte("x"), 8<<20)
 	for range 2 {
-		conn, err := pool.Get(context.Background(), listener.Addr().String(), time.Minute)
+		conn, err := pool.Get(context.Background(), listener.Addr().String(), "", time.Minute)
 		if err != nil {
 			t.Fatal(err)
 		}
 		head := fmt.Appendf(nil, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", len(body))
-		answer, err := conn.Send(context.Background(), head, body, time.Now().Add(time.Second), func(*fasthttp.ResponseHeader) bool { return true })
+		answer, err := conn.Send(context.Background(), head, body, time.Now().Add(time.Second), anyAnswer)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/io/lwthttp/pool.go
+++ b/io/lwthttp/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -53,44 +54,63 @@
 	keepAlive time.Duration
 	// Reused says that the connection has carried a request before.
 	Reused bool
+	// carried is the id of the last request that the connection has carried.
+	carried string
 }
 
-// Get returns a connection to an address: an idle one that has been idle for at
-// most maxIdle, else a new one.
-func (pool *Pool) Get(ctx context.Context, address string, maxIdle time.Duration) (*Conn, error) {
+// Get returns a connection to an address that will carry a request: an idle one
+// that has been idle for at most maxIdle, else a new one. A connection that has
+// carried an earlier attempt of the same request is not used, because a late copy
+// of that attempt's answer bears the same id.
+func (pool *Pool) Get(ctx context.Context, address, request string, maxIdle time.Duration) (*Conn, error) {
 	for {
-		conn, dial := pool.take(address)
-		if conn == nil && !dial {
-			return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrTooManyConnections)
-		}
+		conn := pool.take(address, request)
 		if conn == nil {
-			return pool.dial(ctx, address)
+			conn, err := pool.Dial(ctx, address)
+			if err == nil {
+				conn.carried = request
+			}
+			return conn, err
 		}
 		if idle := time.Since(conn.lastUse); idle <= min(maxIdle, conn.keepAlive) && quiet(conn.conn) {
-			conn.Reused = true
+			conn.Reused, conn.carried = true, request
 			return conn, nil
 		}
 		conn.Close()
 	}
 }
 
-// take returns the connection that was used last, or reserves a new one.
-func (pool *Pool) take(address string) (conn *Conn, dial bool) {
+// take returns the connection that was used last and has not carried a request, or
+// nil.
+func (pool *Pool) take(address, request string) *Conn {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	if idle := pool.idle[address]; len(idle) > 0 {
-		conn = idle[len(idle)-1]
-		pool.idle[address] = idle[:len(idle)-1]
-		return conn, false
+	idle := pool.idle[address]
+	for at := len(idle) - 1; at >= 0; at-- {
+		if conn := idle[at]; conn.carried != request {
+			pool.idle[address] = slices.Delete(idle, at, at+1)
+			return conn
+		}
 	}
+	return nil
+}
+
+// reserve counts a connection that is about to be opened.
+func (pool *Pool) reserve(address string) bool {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
 	if pool.open[address] >= pool.limit(address) {
-		return nil, false
+		return false
 	}
 	pool.open[address]++
-	return nil, true
+	return true
 }
 
-func (pool *Pool) dial(ctx context.Context, address string) (*Conn, error) {
+// Dial returns a new connection to an address.
+func (pool *Pool) Dial(ctx context.Context, address string) (*Conn, error) {
+	if !pool.reserve(address) {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrTooManyConnections)
+	}
 	dialer := net.Dialer{Timeout: dialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	pool.dials(address, err)
--- /dev/null
+++ b/io/lwthttp/trouble_test.go
@@ -0,0 +1,118 @@
+package lwthttp_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"lacewingtide/io/lwthttp"
+)
+
+// breakingBackend sends an answer on each connection, then closes or resets it.
+func breakingBackend(t *testing.T, answer string, reset bool) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 1000))
+			_, _ = conn.Write([]byte(answer))
+			if reset {
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
+			_ = conn.Close()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// TestEveryPlaceToBreak guards against an answer that breaks off anywhere, by an
+// end or a reset, in any framing, and looks complete.
+func TestEveryPlaceToBreak(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length":  ok + "Content-Length: 12\r\n\r\nid: 1\ndata:\n",
+		"chunked": ok + "Transfer-Encoding: chunked\r\n\r\n6\r\nid: 1\n\r\n6\r\ndata:\n\r\n0\r\nA: b\r\n\r\n",
+	} {
+		for _, reset := range []bool{false, true} {
+			for at := 1; at < len(answer); at++ {
+				if _, body, err := send(t, pool(), breakingBackend(t, answer[:at], reset), "1"); err == nil {
+					t.Errorf("%s, reset %v: %q looks complete with body %q", name, reset, answer[:at], body)
+				}
+			}
+		}
+	}
+	// Without a length, the end of the connection ends the answer; a reset does not.
+	for at := range 4 {
+		address := breakingBackend(t, ok+"\r\nbody"[:2+at], true)
+		if _, body, err := send(t, pool(), address, "1"); err == nil {
+			t.Errorf("without a length, reset: looks complete with body %q", body)
+		}
+	}
+}
+
+// TestLateCopyOfARefusal guards against the late second copy of a refusal that is
+// taken for the answer to the next attempt of the same request.
+func TestLateCopyOfARefusal(t *testing.T) {
+	refusal := "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nContent-Length: 0\r\n\r\n"
+	// The second copy is sent when the next request arrives.
+	address := backend(t, refusal, refusal+ok+"Content-Length: 2\r\n\r\nhi")
+	pool := pool()
+	conns := map[*lwthttp.Conn]bool{}
+	for range 2 {
+		conn, err := pool.Get(context.Background(), address, "1", time.Minute)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if conns[conn] {
+			t.Fatal("a connection is used for two attempts of a request")
+		}
+		conns[conn] = true
+		head := []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		answer, err := conn.Send(context.Background(), head, nil, time.Now().Add(time.Second), anyAnswer)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = answer.Drain(100)
+		answer.Settle(time.Now())
+	}
+	if conn, err := pool.Get(context.Background(), address, "2", time.Minute); err != nil || !conns[conn] {
+		t.Errorf("another request does not use the open connection: %v", err)
+	}
+}
+
+// TestEndlessStrayAnswer guards against an answer to another request that is read
+// until the deadline.
+func TestEndlessStrayAnswer(t *testing.T) {
+	address := breakingBackend(t, "HTTP/1.1 200 OK\r\nId: 2\r\n\r\n"+strings.Repeat("x", 4<<20), false)
+	if _, _, err := send(t, pool(), address, "1"); !errors.Is(err, lwthttp.ErrBodyTooLarge) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// TestEndlessHeads guards against heads that are read without a bound.
+func TestEndlessHeads(t *testing.T) {
+	for name, part := range map[string]string{
+		"lines": "Filler: " + strings.Repeat("x", 100) + "\r\n", "one line": "Filler: " + strings.Repeat("x", 5<<10),
+	} {
+		start := time.Now()
+		_, _, err := send(t, pool(), breakingBackend(t, ok+strings.Repeat(part, 1000), false), "1")
+		if err == nil || time.Since(start) > 500*time.Millisecond {
+			t.Errorf("%s: error %v after %s", name, err, time.Since(start))
+		}
+	}
+	interim := fmt.Sprint(strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1000), ok, "Content-Length: 0\r\n\r\n")
+	if _, _, err := send(t, pool(), breakingBackend(t, interim, false), "1"); err == nil {
+		t.Error("interim answers without a bound are read")
+	}
+}
