Relay loads through a few daemons, three of which read the store

Cause: each daemon told every other of each prompt, and read the store by itself.

Ruled out: placement itself (a daemon decides in microseconds) and logging.

Up to 12 daemons go on as they were. In larger fleets each availability zone has relays, about the square root of the fleet in all, by rendezvous hashing over live daemons. A daemon reports to one relay; relays tell each other the sums of their groups and their groups what has changed. States of daemons, changed servers and the versions of the configuration go the same way. Three relays read the store; every daemon reads for itself when nobody's contact with the store is newer than 1.7 s or its servers differ from those of its relay. Answers to lookups name 64 of the daemons: the callers of each zone get a range of a ring, so that all 117 get callers, where the first 64 by name did.

--- a/core/lwtplace/report.go
+++ b/core/lwtplace/report.go
@@ -43,15 +43,15 @@
 	return Reporter{reported: loads, whole: reporter.whole}, Report{Loads: changes}, len(changes) > 0
 }
 
-// Times between two reports. Each daemon reports to each other one, so they grow
-// with the fleet.
+// Times between two reports. They grow with the number of daemons that one reports
+// to.
 //
 // The load they answer: prompts that come to all daemons at once and each take an
 // engine for tens of milliseconds. Until a daemon knows of a prompt, it sends
 // its own to the same engine, whose queue then passes the objective.
 const (
-	// reportsPerSecond bounds the reports that a daemon sends and takes: at about
-	// 35 us for each one sent and taken, a tenth of a core.
+	// reportsPerSecond bounds the reports that a daemon sends: at about 17 us for
+	// each one, a twentieth of a core.
 	reportsPerSecond = 3000
 	// minReportInterval is about the time that a report takes to arrive.
 	minReportInterval = 2 * time.Millisecond
@@ -61,10 +61,10 @@
 )
 
 // PromptReportInterval is the shortest time between two reports of which the
-// second adds a prompt. Daemons is the number of live daemons.
-func PromptReportInterval(daemons int) time.Duration {
-	return max(time.Duration(daemons)*time.Second/reportsPerSecond, minReportInterval)
+// second adds a prompt. FanOut is the number of daemons that one reports to.
+func PromptReportInterval(fanOut int) time.Duration {
+	return max(time.Duration(fanOut)*time.Second/reportsPerSecond, minReportInterval)
 }
 
 // ReportInterval is the time until a change that adds no prompt is reported.
-func ReportInterval(daemons int) time.Duration { return endReports * PromptReportInterval(daemons) }
+func ReportInterval(fanOut int) time.Duration { return endReports * PromptReportInterval(fanOut) }
--- a/core/lwtroster/roster.go
+++ b/core/lwtroster/roster.go
@@ -3,8 +3,11 @@
 package lwtroster
 
 import (
+	"fmt"
 	"sort"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Stage is the part of a request that a model engine takes.
@@ -265,6 +268,17 @@
 	return servers
 }
 
+// Digest returns a number that is the same for rosters with the same servers, as far
+// as they are used alike.
+func (roster Roster) Digest() uint64 {
+	var digest uint64
+	for _, server := range roster.servers {
+		digest ^= xxhash.Sum64String(fmt.Sprintf("%s %s %s %s %v %d", server.ID, server.Service, server.Address, server.Stage,
+			server.Leaving, server.Started.UnixMilli()))
+	}
+	return digest
+}
+
 func (roster Roster) copy() Roster {
 	next := Roster{
 		servers: make(map[string]Server, len(roster.servers)+1), missing: map[string]time.Time{}, outage: roster.outage,
--- a/io/lwtgateway/gateway.go
+++ b/io/lwtgateway/gateway.go
@@ -46,6 +46,13 @@
 	// is used under the lock of the view.
 	serverRows      map[string]int64
 	serversFollower atomic.Pointer[follower]
+	configFollower  atomic.Pointer[follower]
+	// storeSeen is when any daemon has last had an answer of the store, in
+	// nanoseconds since 1970.
+	storeSeen atomic.Int64
+	// differsSince is since when the servers differ from those of the own relay, in
+	// nanoseconds since 1970, or 0.
+	differsSince atomic.Int64
 	// configRequested is when the configuration was last requested from another
 	// daemon, in nanoseconds since 1970.
 	configRequested atomic.Int64
--- a/io/lwtgateway/lookup.go
+++ b/io/lwtgateway/lookup.go
@@ -2,10 +2,13 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"lacewingtide/core/lwtaddress"
 	"lacewingtide/io/lwtlog"
 	"lacewingtide/platform"
 )
@@ -24,7 +27,8 @@
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	addresses := gateway.entryAddresses(time.Now())
+	zone := string(ctx.QueryArgs().Peek(platform.LookupZone))
+	addresses := gateway.entryAddresses(time.Now(), zone)
 	gateway.metrics.Count("lookups")
 	if len(addresses) == 0 {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -40,19 +44,22 @@
 	ctx.SetBody(body)
 }
 
-// entryAddresses returns the addresses of the daemons that callers may use.
-func (gateway *Gateway) entryAddresses(now time.Time) []string {
-	var addresses []string
+// entryAddresses returns the addresses of the daemons that the callers of an
+// availability zone may use.
+func (gateway *Gateway) entryAddresses(now time.Time, zone string) []string {
+	var ready []lwtaddress.Entry
+	zones := map[string]bool{}
 	for _, member := range gateway.members.live(now) {
-		ready := member.Ready
+		zones[member.AvailabilityZone] = true
+		serves := member.Ready
 		if member.Name == gateway.settings.Name {
-			ready = gateway.serving()
+			serves = gateway.serving()
 		}
-		if ready && len(addresses) < maxAddresses {
-			addresses = append(addresses, member.Entry)
+		if serves {
+			ready = append(ready, lwtaddress.Entry{Name: member.Name, Address: member.Entry})
 		}
 	}
-	return addresses
+	return lwtaddress.Share(ready, slices.Sorted(maps.Keys(zones)), zone, maxAddresses)
 }
 
 // answerReadiness tells the platform whether the daemon takes requests.
--- a/io/lwtgateway/members.go
+++ b/io/lwtgateway/members.go
@@ -22,13 +22,20 @@
 	// reads of all rows, in a fleet of up to smallFleet daemons. It grows with the
 	// fleet, so that the calls of all daemons do not.
 	memberInterval    = 2 * time.Second
-	maxMemberInterval = 6 * time.Second
+	maxMemberInterval = 20 * time.Second
 	smallFleet        = 8
+	// unheardInterval is the time between two reads by a daemon that hears no other.
+	unheardInterval = time.Second
+	// readerInterval is the time between two reads by a daemon that reads for others.
+	readerInterval = 4 * time.Second
 	// memberRowAge is how long a changed row tells that its daemon lives, if no
 	// message of it comes.
 	memberRowAge = 4 * time.Second
 	// memberSilence is how long a daemon that has exchanged loads may be silent.
 	memberSilence = 2 * time.Second
+	// relayedSilence is the same for a daemon that is heard by relays, each of which
+	// may hold its state for relayedStateInterval.
+	relayedSilence = memberSilence + 2*relayedStateInterval
 )
 
 // member is another daemon, or this one, as its row tells.
@@ -56,17 +63,26 @@
 	// read before, after which it was written.
 	changed time.Time
 	written time.Time
-	// heard is when the last message came.
-	heard time.Time
+	// heard is when the last message came. Relayed says that another daemon has
+	// passed it on.
+	heard   time.Time
+	relayed bool
+}
+
+func (known known) silence() time.Duration {
+	if known.relayed {
+		return relayedSilence
+	}
+	return memberSilence
 }
 
 // live reports whether the daemon answers, or has written its row since it was
 // last heard.
 func (known known) live(now time.Time) bool {
-	if !known.heard.IsZero() && now.Sub(known.heard) < memberSilence {
+	if !known.heard.IsZero() && now.Sub(known.heard) < known.silence() {
 		return true
 	}
-	silent := known.heard.IsZero() || known.written.After(known.heard.Add(memberSilence))
+	silent := known.heard.IsZero() || known.written.After(known.heard.Add(known.silence()))
 	return silent && now.Sub(known.changed) < memberRowAge
 }
 
@@ -141,13 +157,6 @@
 	return min(max(memberInterval*time.Duration(daemons)/smallFleet, memberInterval), maxMemberInterval)
 }
 
-// interval returns the time until this daemon writes its row again.
-func (members *members) interval() time.Duration {
-	members.mutex.Lock()
-	defer members.mutex.Unlock()
-	return intervalOf(len(members.known) + 1)
-}
-
 // nextBeat returns this daemon's row for the next write.
 func (members *members) nextBeat(ready bool) member {
 	members.mutex.Lock()
@@ -182,23 +191,41 @@
 	return joined, broken
 }
 
-// heardFrom notes a message of another daemon and reports whether it joins by it. A
-// daemon that was started again, or is new, is known by its message until its row
-// is read.
-func (members *members) heardFrom(now time.Time, identity lwtpeer.Identity, entry string, ready bool) (joined bool) {
+// heard notes a message of another daemon without its state.
+func (members *members) heard(now time.Time, identity lwtpeer.Identity) {
 	members.mutex.Lock()
 	defer members.mutex.Unlock()
-	known := members.known[identity.Name]
-	if known.Boot != identity.Boot {
-		if identity.Name == members.self.Name || known.live(now) && now.Sub(known.changed) < memberSilence {
-			// A late message of the run before the one that has just been listed.
+	if known, found := members.known[identity.Name]; found && known.Boot == identity.Boot {
+		known.heard, known.relayed = now, false
+		members.known[identity.Name] = known
+	}
+}
+
+// heardFrom notes the state of another daemon, which it has told itself or a relay has
+// passed on, and reports whether it joins by it. A daemon that was started again, or
+// is new, is known by its state until its row is read.
+func (members *members) heardFrom(heard time.Time, state daemonState, direct bool) (joined bool) {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	known := members.known[state.Name]
+	if known.Boot != state.Boot {
+		unknown := state.Name == members.self.Name || state.Peer == ""
+		if unknown || known.live(heard) && heard.Sub(known.changed) < memberSilence {
+			// A late message of the run before the one that has just been listed, or one
+			// that does not say where the daemon is.
 			return false
 		}
 		joined = true
-		known.member = member{Name: identity.Name, Boot: identity.Boot, Entry: entry, Peer: identity.Address}
+		known.member = member{
+			Name: state.Name, Boot: state.Boot, Entry: state.Entry, Peer: state.Peer, AvailabilityZone: state.AvailabilityZone,
+		}
+		known.heard = time.Time{}
+	}
+	if heard.After(known.heard) {
+		known.heard, known.Ready = heard, state.Ready
+		known.relayed = !direct
 	}
-	known.heard, known.Ready = now, ready
-	members.known[identity.Name] = known
+	members.known[state.Name] = known
 	return joined
 }
 
--- a/io/lwtgateway/members_test.go
+++ b/io/lwtgateway/members_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"lacewingtide/io/lwtpeer"
 	"lacewingtide/platform"
 )
 
@@ -18,6 +17,11 @@
 	return platform.Row{Key: name, Value: value, Version: version}
 }
 
+// told returns the state that a run of a daemon tells.
+func told(name string, boot uint64) daemonState {
+	return daemonState{Name: name, Boot: boot, Entry: name + ":1", Peer: name + ":2", Ready: true}
+}
+
 func isLive(members *members, now time.Time, name string) bool {
 	for _, member := range members.live(now) {
 		if member.Name == name {
@@ -34,7 +38,7 @@
 	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 	members := newMembers(Settings{Name: "self"}, 1)
 	members.observe(at(0), []platform.Row{memberRow(t, "other", 7, 1)})
-	members.heardFrom(at(2.9), lwtpeer.Identity{Name: "other", Boot: 7}, "other:1", true)
+	members.heardFrom(at(2.9), told("other", 7), true)
 	if !isLive(members, at(3), "other") {
 		t.Fatal("a daemon that was just heard is not live")
 	}
@@ -71,7 +75,7 @@
 	members := newMembers(Settings{Name: "self"}, 1)
 	members.observe(start, []platform.Row{memberRow(t, "other", 7, 1)})
 	members.observe(start.Add(time.Second), []platform.Row{memberRow(t, "other", 8, 2)})
-	members.heardFrom(start.Add(1500*time.Millisecond), lwtpeer.Identity{Name: "other", Boot: 7}, "other:1", true)
+	members.heardFrom(start.Add(1500*time.Millisecond), told("other", 7), true)
 	for _, member := range members.live(start.Add(1500 * time.Millisecond)) {
 		if member.Name == "other" && member.Boot != 8 {
 			t.Error("a message of an earlier run replaces the new one")
@@ -86,8 +90,8 @@
 	members := newMembers(Settings{Name: "self"}, 1)
 	members.observe(start, []platform.Row{memberRow(t, "other", 7, 1)})
 	now := start.Add(10 * time.Second)
-	members.heardFrom(now, lwtpeer.Identity{Name: "other", Address: "other:2", Boot: 9}, "other:1", true)
-	members.heardFrom(now, lwtpeer.Identity{Name: "new", Address: "new:2", Boot: 3}, "new:1", true)
+	members.heardFrom(now, told("other", 9), true)
+	members.heardFrom(now, told("new", 3), true)
 	for _, name := range []string{"other", "new"} {
 		address, _ := members.Address(name)
 		if !isLive(members, now, name) || address != name+":2" {
--- a/io/lwtgateway/server_answers.go
+++ b/io/lwtgateway/server_answers.go
@@ -37,24 +37,17 @@
 
 // notifyLeaving tells the other daemons of a server that leaves.
 func (gateway *Gateway) notifyLeaving(server lwtroster.Server) {
-	network := gateway.exchange.open()
-	if network == nil {
-		return
-	}
-	message := serverMessage{Leaving: []leavingServer{{ID: server.ID, Started: server.Started.UnixMilli()}}}
-	// A daemon that misses the message hears it from the server itself.
-	lost, err := network.Broadcast(serverKind, message)
-	if err != nil {
-		lwtlog.Warn(gateway.logger, "servers-not-encoded", "err", err)
-	}
-	gateway.metrics.CountBy("servers-not-sent", lost)
+	gateway.tellServers("", serverMessage{Leaving: []leavingServer{{ID: server.ID, Started: server.Started.UnixMilli()}}})
 }
 
-func (gateway *Gateway) handleLeaving(daemon string, servers []leavingServer) {
+// applyLeaving takes in which servers leave and returns those that were not known to.
+func (gateway *Gateway) applyLeaving(daemon string, servers []leavingServer) (news []leavingServer) {
 	for _, server := range servers {
 		started := time.UnixMilli(server.Started)
 		if gateway.view.setLeaving(server.ID, started) {
 			gateway.logLeaving(server.ID, started, "", daemon)
+			news = append(news, server)
 		}
 	}
+	return news
 }
--- a/io/lwtgateway/server_updates.go
+++ b/io/lwtgateway/server_updates.go
@@ -34,21 +34,35 @@
 	Dropped bool   `cbor:"5,keyasint,omitempty"`
 }
 
-// notifyServers sends changed entries to the other daemons, so that each of them
-// need not read the list often.
+// notifyServers sends changed entries to the other daemons, so that they need not
+// read the list.
 func (gateway *Gateway) notifyServers(changes []serverChange) {
-	network := gateway.exchange.open()
-	if network == nil || len(changes) == 0 {
+	if len(changes) == 0 {
 		return
 	}
+	gateway.tellServers("", encodeChanges(changes))
+}
+
+func encodeChanges(changes []serverChange) serverMessage {
 	var message serverMessage
 	for _, change := range changes {
 		message.Rows = append(message.Rows, serverRow{
 			Key: change.Key, Value: change.Value, Version: change.Version, Deleted: change.Deleted, Dropped: change.dropped,
 		})
 	}
-	// A daemon that misses the message reads the list itself.
-	lost, err := network.Broadcast(serverKind, message)
+	return message
+}
+
+// tellServers sends a message on servers to the daemons that have not got it from
+// another one. From is the daemon that it came from, or empty.
+func (gateway *Gateway) tellServers(from string, message serverMessage) {
+	network := gateway.exchange.open()
+	to := gateway.exchange.audience(time.Now(), from)
+	if network == nil || len(to) == 0 {
+		return
+	}
+	// A daemon that misses the message notices that its servers differ.
+	lost, err := network.Multicast(to, serverKind, message)
 	if err != nil {
 		lwtlog.Warn(gateway.logger, "servers-not-encoded", "err", err)
 	}
@@ -68,6 +82,9 @@
 			dropped: row.Dropped,
 		})
 	}
-	gateway.applyServers(time.Now(), changes, from.Name)
-	gateway.handleLeaving(from.Name, message.Leaving)
+	news := encodeChanges(gateway.applyServers(time.Now(), changes, from.Name))
+	news.Leaving = gateway.applyLeaving(from.Name, message.Leaving)
+	if len(news.Rows) > 0 || len(news.Leaving) > 0 {
+		gateway.tellServers(from.Name, news)
+	}
 }
--- a/io/lwtgateway/shutdown.go
+++ b/io/lwtgateway/shutdown.go
@@ -52,7 +52,7 @@
 	gateway.mutex.Unlock()
 	open, busy := gateway.entry.Connections()
 	lwtlog.Info(gateway.logger, "daemon-leaving", "grace", grace, "connections", open, "busy", busy)
-	gateway.broadcastLoads()
+	gateway.sendLoads(start)
 	gateway.orders.release()
 	go gateway.writeMember()
 	gateway.entry.Drain()
--- a/io/lwtgateway/store.go
+++ b/io/lwtgateway/store.go
@@ -32,9 +32,6 @@
 	// configWait is how long the store waits for a change of the configuration. A
 	// store that goes silent meanwhile is noticed only at its end.
 	configWait = 2 * time.Second
-	// maxConfigWait bounds the wait in large fleets, where it saves calls and the
-	// others tell of a newer configuration.
-	maxConfigWait = 4 * time.Second
 	// minServersInterval is the least time between two reads of the changes of
 	// servers. They write about once a second each, so waiting for a change would
 	// return at once.
@@ -60,6 +57,10 @@
 	// read takes in a full read, changed some changes.
 	read    func(now time.Time, rows []platform.Row)
 	changed func(now time.Time, rows []platform.Row)
+	// catchUp asks for a read because something may have been missed.
+	catchUp atomic.Bool
+	// whole asks for a read of the whole table.
+	whole atomic.Bool
 	// contact is the time during which the store has answered without a gap. It is
 	// used by other goroutines.
 	contact atomic.Pointer[lwtroster.Contact]
@@ -114,7 +115,7 @@
 
 // call reads the table or its changes. Take takes in what was read.
 func (follower *follower) call() (take func(now time.Time), err error) {
-	if follower.version == 0 {
+	if follower.version == 0 || follower.whole.Swap(false) {
 		rows, version, err := follower.gateway.store.Rows(follower.table, StoreTimeout)
 		if err != nil {
 			return nil, err
@@ -142,9 +143,12 @@
 // follow polls until ctx ends, with a pause between two calls.
 func (follower *follower) follow(ctx context.Context, interval func() time.Duration) error {
 	for ctx.Err() == nil {
-		span := interval()
-		if !follower.poll() {
-			span = storeRetry + time.Duration(rand.Float64()*float64(storeRetry))
+		span := idleInterval
+		if follower.due(time.Now()) {
+			span = interval()
+			if !follower.poll() {
+				span = storeRetry + time.Duration(rand.Float64()*float64(storeRetry))
+			}
 		}
 		if span > 0 && !pause(ctx, span) {
 			return ctx.Err()
@@ -153,6 +157,28 @@
 	return ctx.Err()
 }
 
+const (
+	// idleInterval is the time between two looks whether a daemon that does not read
+	// for others has to read for itself.
+	idleInterval = 200 * time.Millisecond
+	// readerSilence is the age of the newest contact of any daemon with the store from
+	// which each reads for itself. A change of the configuration must be in force 3 s
+	// after it in the fleets that have readers.
+	readerSilence = 1700 * time.Millisecond
+	// serverReadInterval is the time between two reads of the servers by a reader.
+	serverReadInterval = time.Second
+)
+
+// due reports whether this daemon reads the table itself: it reads for others, has
+// not read yet, has missed something, or nobody tells of the store.
+func (follower *follower) due(now time.Time) bool {
+	gateway := follower.gateway
+	if follower.version == 0 || gateway.exchange.reads() || follower.catchUp.Swap(false) {
+		return true
+	}
+	return now.Sub(time.Unix(0, gateway.storeSeen.Load())) >= readerSilence
+}
+
 // followConfig keeps the configuration in force.
 func (gateway *Gateway) followConfig(ctx context.Context) error {
 	table, _ := platform.ConfigRow()
@@ -160,9 +186,13 @@
 		gateway: gateway, table: table, wait: configWait,
 		read: gateway.readConfigRows, changed: gateway.readConfigRows, back: func(lwtroster.Outage) {},
 	}
+	gateway.configFollower.Store(follower)
 	return follower.follow(ctx, func() time.Duration {
-		daemons := gateway.members.count(time.Now())
-		follower.wait = min(max(configWait*time.Duration(daemons)/smallFleet, configWait), maxConfigWait)
+		follower.wait = configWait
+		if !gateway.exchange.reads() {
+			follower.wait = 0
+			return idleInterval
+		}
 		return 0
 	})
 }
@@ -186,11 +216,28 @@
 
 // serversInterval returns the time until the next read of the changes of servers.
 func (gateway *Gateway) serversInterval() time.Duration {
-	daemons := gateway.members.count(time.Now())
 	most := time.Duration(drainShare * gateway.bounds.Load().DrainMilliseconds * float64(time.Millisecond))
+	if !gateway.exchange.mesh() {
+		return max(min(serverReadInterval, most), minServersInterval)
+	}
+	daemons := gateway.members.count(time.Now())
 	return max(min(time.Duration(daemons)*serversPerDaemon, most), minServersInterval)
 }
 
+// contact returns this daemon's contact with the store. There is none while the
+// configuration is not read.
+func (gateway *Gateway) contact(now time.Time) (lwtroster.Contact, bool) {
+	servers, config := gateway.serversFollower.Load(), gateway.configFollower.Load()
+	if servers == nil || config == nil {
+		return lwtroster.Contact{}, false
+	}
+	contact, read := servers.contact.Load(), config.contact.Load()
+	if contact == nil || read == nil || gateway.exchange.reads() && now.Sub(read.Until) > 2*configWait {
+		return lwtroster.Contact{}, false
+	}
+	return *contact, true
+}
+
 func (gateway *Gateway) expireServers(now time.Time) {
 	gateway.view.mutex.Lock()
 	roster, expired := gateway.view.roster.Expire(now)
@@ -278,9 +325,15 @@
 	if _, found := roster.Server(change.Key); !found {
 		return roster
 	}
-	next := roster.WithoutEntry(now, change.Key)
-	if change.dropped {
+	var next lwtroster.Roster
+	switch {
+	case change.dropped:
 		next = roster.WithoutServer(change.Key)
+	case gateway.exchange.reads():
+		next = roster.WithoutEntry(now, change.Key)
+	default:
+		// Who has read it knows whether the store was away.
+		next = roster.WithLapse(now, change.Key)
 	}
 	_, kept := next.Server(change.Key)
 	lwtlog.Info(gateway.logger, "server-unlisted", "server", change.Key, "row-version", change.Version, "kept", kept, "source", source)
@@ -302,6 +355,11 @@
 
 // noteContact takes in the contact of another daemon with the store.
 func (gateway *Gateway) noteContact(contact lwtroster.Contact, daemon string) {
+	for seen := gateway.storeSeen.Load(); contact.Until.UnixNano() > seen; seen = gateway.storeSeen.Load() {
+		if gateway.storeSeen.CompareAndSwap(seen, contact.Until.UnixNano()) {
+			break
+		}
+	}
 	gateway.view.mutex.Lock()
 	roster, ended := gateway.view.roster.WithContact(contact)
 	gateway.view.roster = roster
@@ -313,3 +371,36 @@
 	lwtlog.Info(gateway.logger, "servers-gone", "servers", ended, "contact-of", daemon,
 		"since", time.Since(contact.Since).Round(time.Millisecond), "until", time.Since(contact.Until).Round(time.Millisecond))
 }
+
+// compareServers has the list of servers read again if it differs from that of the
+// own relay for longer than a change takes to arrive.
+func (gateway *Gateway) compareServers(now time.Time, relays uint64) {
+	if relays == 0 || relays == gateway.view.rosterDigest() {
+		gateway.differsSince.Store(0)
+		return
+	}
+	since := gateway.differsSince.Load()
+	if since == 0 {
+		gateway.differsSince.Store(now.UnixNano())
+		return
+	}
+	if now.UnixNano()-since >= int64(serversDifferTime) {
+		gateway.differsSince.Store(0)
+		gateway.catchUpServers("servers-differ")
+	}
+}
+
+// serversDifferTime is how long the lists of servers of a daemon and its relay may
+// differ: a change reaches them within some milliseconds.
+const serversDifferTime = 700 * time.Millisecond
+
+// catchUpServers has all servers read again.
+func (gateway *Gateway) catchUpServers(cause string) {
+	follower := gateway.serversFollower.Load()
+	if follower == nil || gateway.exchange.reads() {
+		return
+	}
+	gateway.metrics.Count(cause)
+	follower.whole.Store(true)
+	follower.catchUp.Store(true)
+}
--- a/io/lwtgateway/view.go
+++ b/io/lwtgateway/view.go
@@ -32,6 +32,7 @@
 	budgets   map[string]*lwtretry.Shared
 	byID      map[string]lwtroster.Server
 	byAddr    map[string]lwtroster.Server
+	digest    uint64
 }
 
 func newView(terms lwtplace.Terms, retry lwtretry.SharedTerms) *view {
@@ -111,6 +112,7 @@
 		view.byID[server.ID] = server
 		view.byAddr[server.Address] = server
 	}
+	view.digest = view.roster.Digest()
 	for _, name := range view.config.Services() {
 		service, _ := view.config.Service(name)
 		if service.Engine == nil {
@@ -157,6 +159,14 @@
 	return found && !server.Leaving
 }
 
+// rosterDigest returns a digest of the servers that the daemon uses, which is the same
+// at all daemons that use the same ones.
+func (view *view) rosterDigest() uint64 {
+	view.mutex.Lock()
+	defer view.mutex.Unlock()
+	return view.digest
+}
+
 // serverAt returns the server at an address.
 func (view *view) serverAt(address string) (lwtroster.Server, bool) {
 	view.mutex.Lock()
--- a/io/lwtpeer/network.go
+++ b/io/lwtpeer/network.go
@@ -126,15 +126,29 @@
 	if err != nil {
 		return 0, err
 	}
+	return network.multicast(network.Members(), raw), nil
+}
+
+// Multicast queues a message to some live members and returns to how many of them
+// it could not be queued.
+func (network *Network) Multicast(members []string, kind string, body any) (dropped int, err error) {
+	raw, err := encode(kind, body)
+	if err != nil {
+		return 0, err
+	}
+	return network.multicast(members, raw), nil
+}
+
+func (network *Network) multicast(members []string, raw []byte) (dropped int) {
 	network.mutex.RLock()
 	directory := network.directory
 	network.mutex.RUnlock()
-	for _, member := range directory.Names() {
+	for _, member := range members {
 		if address, found := directory.Address(member); !found || !network.queue(address, raw) {
 			dropped++
 		}
 	}
-	return dropped, nil
+	return dropped
 }
 
 // queue reports whether a message waits to be sent.
