--- a/io/lwtgateway/exchange.go
+++ b/io/lwtgateway/exchange.go
@@ -324,6 +324,8 @@
 	if changed {
 		// What happened between two relays may have been missed.
 		gateway.catchUpServers("relay-changed")
+	}
+	if changed || before.Reads() != plan.Reads() {
 		lwtlog.Info(gateway.logger, "relay-chosen", "relay", plan.Relay(), "before", before.Relay(), "silent", silent,
 			"daemons", len(live), "relays", len(plan.Others()), "reads-store", plan.Reads())
 	}
--- a/io/lwtgateway/members.go
+++ b/io/lwtgateway/members.go
@@ -221,7 +221,7 @@
 		}
 		known.heard = time.Time{}
 	}
-	if heard.After(known.heard) {
+	if !heard.Before(known.heard) {
 		known.heard, known.Ready = heard, state.Ready
 		known.relayed = !direct
 	}
