Report the end of work more rarely where relays pass it on

Cause: each of 117 daemons woke up 125 times a second to look for loads that have ended. Ends wait for 25 ms in fleets with relays now; prompts are told at once as before.

--- a/core/lwtplace/report.go
+++ b/core/lwtplace/report.go
@@ -58,6 +58,9 @@
 	// endReports is how many times longer a change waits that adds no prompt. The
 	// other daemons then take an engine for fuller than it is, which is not as bad.
 	endReports = 4
+	// relayedEndInterval is the least time for that where relays pass changes on.
+	// Each wake-up costs every daemon of a large fleet.
+	relayedEndInterval = 25 * time.Millisecond
 )
 
 // PromptReportInterval is the shortest time between two reports of which the
@@ -66,5 +69,12 @@
 	return max(time.Duration(fanOut)*time.Second/reportsPerSecond, minReportInterval)
 }
 
-// ReportInterval is the time until a change that adds no prompt is reported.
-func ReportInterval(fanOut int) time.Duration { return endReports * PromptReportInterval(fanOut) }
+// ReportInterval is the time until a change that adds no prompt is reported. Relayed
+// says that relays pass it on.
+func ReportInterval(fanOut int, relayed bool) time.Duration {
+	interval := endReports * PromptReportInterval(fanOut)
+	if relayed {
+		return max(interval, relayedEndInterval)
+	}
+	return interval
+}
--- a/core/lwtplace/report_test.go
+++ b/core/lwtplace/report_test.go
@@ -126,7 +126,7 @@
 	rate := engines * int(time.Second/(3500*tokenTime))
 	alone := newCrowd(1, engines, time.Second, time.Second)
 	alone.play(rate, span)
-	together := newCrowd(daemons, engines, lwtplace.PromptReportInterval(daemons), lwtplace.ReportInterval(daemons))
+	together := newCrowd(daemons, engines, lwtplace.PromptReportInterval(daemons), lwtplace.ReportInterval(daemons, false))
 	together.play(rate, span)
 	t.Logf("one daemon: %d in time, %d late, %d refused", alone.onTime, alone.late, alone.refused)
 	t.Logf("%d daemons: %d in time, %d late, %d refused", daemons, together.onTime, together.late, together.refused)
--- a/io/lwtgateway/exchange.go
+++ b/io/lwtgateway/exchange.go
@@ -167,7 +167,7 @@
 	if !pause(ctx, lwtplace.PromptReportInterval(fanOut)) {
 		return false
 	}
-	timer := time.NewTimer(lwtplace.ReportInterval(fanOut) - lwtplace.PromptReportInterval(fanOut))
+	timer := time.NewTimer(lwtplace.ReportInterval(fanOut, !exchange.mesh()) - lwtplace.PromptReportInterval(fanOut))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
