Choose the number of generating engines by their slots

The share of 0.34 was that of engines with 12 to 32 slots. Streams need slots, so the planner now wants 14 slots that generate for each engine of the fleet, at most 0.34 of the engines.

Test: TestManySlotsNeedFewEngines.

--- a/core/lwtstage/stage.go
+++ b/core/lwtstage/stage.go
@@ -2,7 +2,7 @@
 //
 // The load it answers: prompts of thousands of tokens with answers of a few,
 // beside chats with short prompts and answers of thousands, in a mix that turns
-// every few seconds. Reading binds, so most engines read. A change takes an
+// every few seconds. Prefill binds, so most engines prefill. A change takes an
 // engine away for longer than the mix lasts, so the stages do not follow the
 // mix: the planner gives each service its share at the start and makes good for
 // engines that come and go.
@@ -35,9 +35,13 @@
 	spareDecode = 1
 	// minDecode is the least number of engines that generate: one may fail.
 	minDecode = 2
-	// decodeShare is the share of engines that generate: the slots that chats
-	// need at the start of a shift towards them.
-	decodeShare = 0.34
+	// slotsForEach is the number of slots that generate for each engine of the fleet:
+	// what streams need at the start of a shift towards them. Engines with more slots
+	// carry more streams, and fewer of them have to generate.
+	slotsForEach = 14
+	// maxDecodeShare is the largest share of engines that generate. Beyond it prompts
+	// wait for longer than streams gain.
+	maxDecodeShare = 0.34
 )
 
 // Order changes the stage of one engine.
@@ -73,7 +77,7 @@
 	if len(engines) < minDecode+1 || len(engines) < all {
 		return nil
 	}
-	return planner.orders(now, engines, wanted(len(engines)), busy)
+	return planner.orders(now, engines, wanted(engines), busy)
 }
 
 // Given notes that an order was sent.
@@ -136,8 +140,16 @@
 }
 
 // wanted returns how many engines should generate.
-func wanted(engines int) int {
-	return min(max(int(math.Round(decodeShare*float64(engines))), minDecode), engines-1)
+func wanted(engines []lwtroster.Server) int {
+	slots, count := 0, float64(len(engines))
+	for _, engine := range engines {
+		slots += engine.Slots
+	}
+	share := maxDecodeShare
+	if slots > 0 {
+		share = min(slotsForEach*count/float64(slots), maxDecodeShare)
+	}
+	return min(max(int(math.Round(share*count)), minDecode), len(engines)-1)
 }
 
 // orders changes as many engines as the wanted number asks for, those first
--- a/core/lwtstage/stage_test.go
+++ b/core/lwtstage/stage_test.go
@@ -141,3 +141,21 @@
 		t.Errorf("%d of %d serving engines change at once", len(orders), len(servers))
 	}
 }
+
+// TestManySlotsNeedFewEngines guards against engines with many slots that generate
+// although the streams fit on fewer, while prompts wait for an engine.
+func TestManySlotsNeedFewEngines(t *testing.T) {
+	for slots, want := range map[int]int{0: 6, 12: 6, 32: 6, 64: 4, 512: 2} {
+		var servers []lwtroster.Server
+		for i := range 18 {
+			servers = append(servers, lwtroster.Server{
+				ID: fmt.Sprint("e", i), Stage: lwtroster.Prefill, AvailabilityZone: "a", Slots: slots,
+			})
+		}
+		planner := lwtstage.New()
+		planner.Plan(start, servers, false)
+		if orders := planner.Plan(start.Add(time.Minute), servers, false); len(orders) != want {
+			t.Errorf("%d slots: %d of 18 engines generate, want %d", slots, len(orders), want)
+		}
+	}
+}
