Copy the list of servers only when an entry changes it

Cause: WithEntry copied all servers for each entry, also for a heartbeat alone, and a read of the whole list did so for each of its rows. Ruled out: messages between daemons (wake-ups a second do not grow from 30 to 300 VMs).

A heartbeat that changes nothing leaves the roster as it is; a read of the list copies it once. Delayed entries are still known by their number: one that was delayed behind a change is older than the entry with the change.

Tests: TestHeartbeatCopiesNothing (failed: copies), TestChangeBetweenHeartbeats.

--- a/core/lwtroster/roster.go
+++ b/core/lwtroster/roster.go
@@ -121,18 +121,41 @@
 // WithEntry returns the roster with a new or changed server. An entry older
 // than the one that is known is ignored.
 func (roster Roster) WithEntry(server Server) Roster {
-	if known, found := roster.servers[server.ID]; found && server.OlderThan(known) {
+	if !roster.changedBy(server) {
 		return roster
 	}
 	next := roster.copy()
-	if started, said := next.said[server.ID]; said && started.Equal(server.Started) {
+	next.put(server)
+	return next
+}
+
+// changedBy reports whether an entry changes the roster. One that is older than what
+// is known does not, nor does a heartbeat alone: an entry that was delayed behind a
+// change is older than the entry with the change.
+func (roster Roster) changedBy(server Server) bool {
+	known, found := roster.servers[server.ID]
+	if !found {
+		return true
+	}
+	if _, missing := roster.missing[server.ID]; missing || server.OlderThan(known) {
+		return !server.OlderThan(known)
+	}
+	if started, said := roster.said[server.ID]; said && started.Equal(server.Started) {
+		server.Leaving = true
+	}
+	server.Beat = known.Beat
+	return !known.SameRun(server) || server != known
+}
+
+// put takes in an entry in place.
+func (roster Roster) put(server Server) {
+	if started, said := roster.said[server.ID]; said && started.Equal(server.Started) {
 		server.Leaving = true
 	} else {
-		delete(next.said, server.ID)
+		delete(roster.said, server.ID)
 	}
-	next.servers[server.ID] = server
-	delete(next.missing, server.ID)
-	return next
+	roster.servers[server.ID] = server
+	delete(roster.missing, server.ID)
 }
 
 // WithLeaving returns the roster after an answer of a server, which was started at
@@ -220,10 +243,12 @@
 // WithEntries returns the roster after a complete read of the list.
 func (roster Roster) WithEntries(now time.Time, servers []Server) Roster {
 	listed := map[string]bool{}
-	next := roster
+	next := roster.copy()
 	for _, server := range servers {
 		listed[server.ID] = true
-		next = next.WithEntry(server)
+		if next.changedBy(server) {
+			next.put(server)
+		}
 	}
 	for id := range roster.servers {
 		if !listed[id] {
--- a/core/lwtroster/roster_test.go
+++ b/core/lwtroster/roster_test.go
@@ -1,6 +1,7 @@
 package lwtroster_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -137,3 +138,38 @@
 		t.Error("an answer of the run before leaves the server out")
 	}
 }
+
+// TestHeartbeatCopiesNothing guards against a list that is copied for each heartbeat:
+// a daemon takes thousands a second in a large fleet.
+func TestHeartbeatCopiesNothing(t *testing.T) {
+	roster := lwtroster.Roster{}
+	for i := range 1000 {
+		roster = roster.WithEntry(server(fmt.Sprint("i-", i), 1))
+	}
+	beat := int64(1)
+	allocations := testing.AllocsPerRun(100, func() {
+		beat++
+		roster = roster.WithEntry(server("i-1", beat))
+	})
+	if allocations > 0 {
+		t.Errorf("%v allocations for a heartbeat", allocations)
+	}
+}
+
+// TestChangeBetweenHeartbeats guards against a heartbeat that hides a change which
+// comes after it, and against an entry that was delayed behind the change.
+func TestChangeBetweenHeartbeats(t *testing.T) {
+	roster := lwtroster.Roster{}.WithEntry(server("a", 1)).WithEntry(server("a", 2)).WithEntry(server("a", 3))
+	changed := server("a", 4)
+	changed.Stage = lwtroster.Decode
+	roster = roster.WithEntry(changed).WithEntry(server("a", 3))
+	if known, _ := roster.Server("a"); known.Stage != lwtroster.Decode {
+		t.Error("an entry that was delayed takes back a change")
+	}
+	missing := roster.WithOutage(lwtroster.Outage{Start: start, End: start.Add(time.Second)}).WithoutEntry(start.Add(time.Second), "a")
+	changed.Beat = 5
+	kept, _ := missing.WithEntry(changed).Expire(start.Add(time.Minute))
+	if _, found := kept.Server("a"); !found {
+		t.Error("a server that is listed again by a heartbeat is dropped")
+	}
+}
