Log the request limits that servers name, and their use

The logs could not tell whether a daemon reads a server's limit, keeps to it alone, or passes it over on some path: no line mentioned a limit, and nothing said how many requests a daemon sent to one server.

platform/ now decodes Server-Limit, lwtsendlimit keeps the last limit of each server, and each daemon logs server-limit when one is named, changed or ended, and server-limit-used once a second with the number of requests sent (callers' requests, prefills and control calls). Nothing is limited yet: requests are sent as before.

Ruled out for the end of a limit: any response without the header, since responses on different connections may overtake each other.

--- /dev/null
+++ b/core/lwtsendlimit/limiter_test.go
@@ -0,0 +1,66 @@
+package lwtsendlimit_test
+
+import (
+	"testing"
+	"time"
+
+	"lacewingtide/core/lwtdiscovery"
+	"lacewingtide/core/lwtsendlimit"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(offset time.Duration) time.Time { return start.Add(offset) }
+
+func server(id string) lwtdiscovery.Server { return lwtdiscovery.Server{ID: id, StartTime: start} }
+
+// TestOvertakingResponseKeepsLimit guards against a response from before a limit was named
+// ending it because it arrives later.
+func TestOvertakingResponseKeepsLimit(t *testing.T) {
+	limiter := lwtsendlimit.New()
+	for _, step := range []struct {
+		name            string
+		sentAt, arrived time.Duration
+		limited         bool
+		changed, active bool
+	}{
+		{"no limit yet", 0, time.Second, false, false, false},
+		{"limit named", 1100 * time.Millisecond, 1200 * time.Millisecond, true, true, true},
+		{"named again", 1200 * time.Millisecond, 1300 * time.Millisecond, true, false, true},
+		{"older response without it", 1000 * time.Millisecond, 1400 * time.Millisecond, false, false, true},
+		{"newer response without it", 1500 * time.Millisecond, 1600 * time.Millisecond, false, true, false},
+		{"limit named once more", 1700 * time.Millisecond, 1800 * time.Millisecond, true, true, true},
+	} {
+		_, changed := limiter.ObserveResponse(at(step.arrived), at(step.sentAt), server("s"), 5, step.limited)
+		active := len(limiter.Usage(at(step.arrived))) == 1
+		if changed != step.changed || active != step.active {
+			t.Errorf("%s: changed %v, active %v; want %v, %v", step.name, changed, active, step.changed, step.active)
+		}
+	}
+}
+
+// TestRestartEndsLimit guards against the limit of a server's earlier process being applied
+// after its restart.
+func TestRestartEndsLimit(t *testing.T) {
+	limiter := lwtsendlimit.New()
+	limiter.ObserveResponse(at(0), at(0), server("s"), 5, true)
+	restarted := server("s")
+	restarted.StartTime = at(time.Second)
+	limiter.RecordSent(at(time.Second), restarted)
+	if usage := limiter.Usage(at(time.Second)); len(usage) != 1 || usage[0].Sent != 0 {
+		t.Errorf("usage %+v, want none of the restarted server", usage)
+	}
+}
+
+// TestUnconfirmedLimitExpires guards against a limit that is kept forever because its end was
+// missed.
+func TestUnconfirmedLimitExpires(t *testing.T) {
+	limiter := lwtsendlimit.New()
+	limiter.ObserveResponse(at(0), at(0), server("s"), 5, true)
+	if usage := limiter.Usage(at(2 * time.Second)); len(usage) != 1 {
+		t.Errorf("usage after 2s %+v, want the limit", usage)
+	}
+	if usage := limiter.Usage(at(20 * time.Second)); len(usage) != 0 {
+		t.Errorf("usage after 20s %+v, want none", usage)
+	}
+}
--- a/io/lwtgateway/attempt.go
+++ b/io/lwtgateway/attempt.go
@@ -135,9 +135,11 @@
 	match := func(header *fasthttp.ResponseHeader) lwthttp.ResponseMatch {
 		return call.matchResponse(header, signed, conn.Reused)
 	}
+	sentAt := time.Now()
+	call.gateway.view.recordSent(sentAt, server)
 	response, err := conn.RoundTrip(call.context, head, call.exchange.Body, call.flow.Deadline(), match)
 	if err == nil {
-		call.gateway.recordResponse(server, call.request.ID, &response.Header)
+		call.gateway.recordResponse(server, call.request.ID, sentAt, &response.Header)
 	}
 	switch {
 	case errors.Is(err, lwthttp.ErrNotSent):
@@ -329,16 +331,16 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	deadline := time.Now().Add(controlTimeout)
-	response, err := conn.RoundTrip(ctx, head, body, deadline, func(*fasthttp.ResponseHeader) lwthttp.ResponseMatch {
-		return lwthttp.OwnResponse
-	})
+	sentAt := time.Now()
+	gateway.view.recordSent(sentAt, server)
+	match := func(*fasthttp.ResponseHeader) lwthttp.ResponseMatch { return lwthttp.OwnResponse }
+	response, err := conn.RoundTrip(ctx, head, body, sentAt.Add(controlTimeout), match)
 	if err != nil {
 		return 0, nil, err
 	}
 	defer response.CloseConnection()
 	if listed {
-		gateway.recordResponse(server, "", &response.Header)
+		gateway.recordResponse(server, "", sentAt, &response.Header)
 	}
 	content, err = response.ReadAll(maxControlBodyBytes)
 	return response.Header.StatusCode(), content, err
--- a/io/lwtgateway/gateway.go
+++ b/io/lwtgateway/gateway.go
@@ -214,6 +214,7 @@
 		"exchange":  func(ctx context.Context) error { return gateway.exchangeLoads(ctx, listeners.peer) },
 		"orders":    gateway.orderSender.serve,
 		"sweep":     gateway.sweepIdleConnections,
+		"limits":    gateway.reportLimitUsage,
 		"entry":     func(context.Context) error { return gateway.entryServer.Serve(listeners.entry) },
 		"readiness": gateway.serveAuxiliary(listeners.readiness, gateway.serveReadiness),
 		"lookup":    gateway.serveAuxiliary(listeners.lookup, gateway.serveLookup),
--- a/io/lwtgateway/protocol.go
+++ b/io/lwtgateway/protocol.go
@@ -46,6 +46,9 @@
 	// RetryAfter returns the backoff that a server requests after it has rejected a request,
 	// or zero.
 	RetryAfter(header *fasthttp.ResponseHeader) time.Duration
+	// RequestLimit returns the number of requests per second that a server takes from all
+	// daemons together, if the response names one.
+	RequestLimit(header *fasthttp.ResponseHeader) (perSecond float64, limited bool)
 	// DecodePrefill returns the handle of the KV cache from the response to a prefill-only
 	// request.
 	DecodePrefill(body []byte) (handle string, err error)
--- a/io/lwtgateway/server_responses.go
+++ b/io/lwtgateway/server_responses.go
@@ -10,8 +10,11 @@
 )
 
 // recordResponse applies what a response's headers say about its server: that it is
-// draining, or that it requests a backoff. RequestID is empty for control requests.
-func (gateway *Gateway) recordResponse(server lwtdiscovery.Server, requestID string, header *fasthttp.ResponseHeader) {
+// draining, that it requests a backoff, or that it limits its request rate. SentAt is when the
+// request was sent. RequestID is empty for control requests.
+func (gateway *Gateway) recordResponse(
+	server lwtdiscovery.Server, requestID string, sentAt time.Time, header *fasthttp.ResponseHeader,
+) {
 	if gateway.protocol.ServerDraining(header) && gateway.view.setDraining(server.ID, server.StartTime) {
 		gateway.logServerDraining(server.ID, server.StartTime, requestID, "answer")
 		gateway.announceDraining(server)
@@ -21,6 +24,11 @@
 		gateway.metrics.Count("server-pauses")
 		lwtlog.Info(gateway.logger, "server-pause", "server", server.ID, "request", requestID, "span", backoff)
 	}
+	perSecond, limited := gateway.protocol.RequestLimit(header)
+	limit, changed := gateway.view.observeLimit(time.Now(), sentAt, server, perSecond, limited)
+	if changed {
+		gateway.logLimit(limit, requestID, "answer")
+	}
 }
 
 func (gateway *Gateway) logServerDraining(id string, started time.Time, requestID, source string) {
--- a/io/lwtgateway/view.go
+++ b/io/lwtgateway/view.go
@@ -9,6 +9,7 @@
 	"lacewingtide/core/lwtqueueplacement"
 	"lacewingtide/core/lwtretry"
 	"lacewingtide/core/lwtroutetable"
+	"lacewingtide/core/lwtsendlimit"
 	"lacewingtide/platform"
 )
 
@@ -31,6 +32,7 @@
 	enginePools   map[string]*lwtqueueplacement.EnginePool
 	serverPools   map[string]*lwtqueueplacement.ServerPool
 	retryBudgets  map[string]*lwtretry.SharedBudget
+	limiter       *lwtsendlimit.Limiter
 	byID          map[string]lwtdiscovery.Server
 	byAddress     map[string]lwtdiscovery.Server
 	serversDigest uint64
@@ -40,7 +42,7 @@
 	return &view{
 		placementOptions: placementOptions, retryLimits: retryLimits, daemonCount: 1,
 		enginePools: map[string]*lwtqueueplacement.EnginePool{}, serverPools: map[string]*lwtqueueplacement.ServerPool{},
-		retryBudgets: map[string]*lwtretry.SharedBudget{},
+		retryBudgets: map[string]*lwtretry.SharedBudget{}, limiter: lwtsendlimit.New(),
 	}
 }
 
