Keep all daemons together within the limit that a server names

Callers saw no error; a server in need got three times what it takes: 186 and 82 requests in 4 s where its limits of 14.3 and 6.7 a second allow 91 and 45, so it could not recover.

The daemons know backoffs (nothing for a time) and loads (requests in flight), but no number of requests a second, and none that all daemons share. Class: a bound for all daemons together that has no owner in the design.

Change: lwtsendlimit divides a named rate among at most as many daemons as it allows requests a second, by rendezvous hashing over the live daemons, each with a token bucket that begins a second in debt. Both pools skip servers at their limit, and the token is taken where the request is sent, so prefills, runs, repeated and resumed runs all count; control calls are charged. If no server is left the request is rejected at once as servers-limit, until the next token (0.6 to 2 s).

Ruled out: the whole rate at each daemon, and an equal share at each; as mutants of TestLimitHoldsInFleets they give 108 and, at 117 daemons, 94 requests in 4 s where 45 are allowed at 6.7 a second.

TestLimitHoldsInFleets plays 1 to 370 daemons, a fifth of which are lost, without a network.

--- a/core/lwtqueueplacement/backoff.go
+++ b/core/lwtqueueplacement/backoff.go
@@ -29,12 +29,3 @@
 	}
 	return end
 }
-
-// rejectForBackoff rejects a request because all servers that could take it have asked for a
-// backoff, the first of which ends at retryAt. It returns nil if retryAt is zero.
-func rejectForBackoff(now, retryAt time.Time) *Rejection {
-	if retryAt.IsZero() {
-		return nil
-	}
-	return &Rejection{Reason: "servers-pause", RetryAfter: min(max(retryAt.Sub(now), minRetryAfter), maxRetryAfter)}
-}
--- /dev/null
+++ b/core/lwtqueueplacement/limit_test.go
@@ -0,0 +1,74 @@
+package lwtqueueplacement_test
+
+import (
+	"testing"
+	"time"
+
+	"lacewingtide/core/lwtdiscovery"
+	"lacewingtide/core/lwtqueueplacement"
+)
+
+// rateLimits holds when the servers at their limit take a request again, by server id.
+type rateLimits map[string]time.Time
+
+func (rateLimits rateLimits) Allows(_ time.Time, server lwtdiscovery.Server) bool {
+	_, limited := rateLimits[server.ID]
+	return !limited
+}
+
+func (rateLimits rateLimits) NextAt(_ time.Time, server lwtdiscovery.Server) (time.Time, bool) {
+	at, limited := rateLimits[server.ID]
+	return at, limited
+}
+
+// TestServerAtLimitIsSkipped guards against requests to a server at its limit while another one
+// could take them, and against queueing or delaying requests when none can.
+func TestServerAtLimitIsSkipped(t *testing.T) {
+	soon, late := start.Add(1500*time.Millisecond), start.Add(time.Minute)
+	for _, test := range []struct {
+		name   string
+		limits rateLimits
+		// chosen is the only server that may be chosen, or empty if the request is rejected.
+		chosen     string
+		retryAfter time.Duration
+	}{
+		{"one at its limit", rateLimits{"p0": soon}, "p1", 0},
+		{"all at their limits", rateLimits{"p0": soon, "p1": late}, "", 1500 * time.Millisecond},
+		{"no share in any limit", rateLimits{"p0": {}, "p1": {}}, "", time.Second},
+	} {
+		pool := lwtqueueplacement.NewServerPool(lwtqueueplacement.Options{RateLimits: test.limits})
+		pool.SetServers([]lwtdiscovery.Server{{ID: "p0", Address: "a0"}, {ID: "p1", Address: "a1"}})
+		for first := range 4 {
+			server, rejection := pool.Place(start, nil, first)
+			if server.ID != test.chosen || (rejection == nil) != (test.chosen != "") {
+				t.Errorf("%s: server %q, rejection %+v; want %q", test.name, server.ID, rejection, test.chosen)
+			}
+			if rejection != nil && (rejection.Reason != "servers-limit" || rejection.RetryAfter != test.retryAfter) {
+				t.Errorf("%s: rejection %+v, want servers-limit and %s", test.name, rejection, test.retryAfter)
+			}
+		}
+	}
+}
+
+// TestEngineAtLimitIsSkipped guards against prompts and decodes on an engine at its limit while
+// others could take them.
+func TestEngineAtLimitIsSkipped(t *testing.T) {
+	limits := rateLimits{}
+	pool := lwtqueueplacement.NewEnginePool(lwtqueueplacement.Options{
+		AvailabilityZone: "z0", PrefillTimePerToken: 3 * time.Microsecond, RateLimits: limits,
+	})
+	pool.SetServers(engineSpec, engineServers(3, 2))
+	limits["prefill-1"], limits["decode-0"] = start.Add(time.Second), start.Add(time.Second)
+	for prefix := range 20 {
+		placement, rejection := pool.Place(start, placementRequest(longPrompt(prefix)))
+		if rejection != nil || placement.Prefill.ID == "prefill-1" || placement.Decode.ID != "decode-1" {
+			t.Errorf("prefix %d: engines %q and %q, rejection %+v; want neither engine at its limit",
+				prefix, placement.Prefill.ID, placement.Decode.ID, rejection)
+		}
+	}
+	limits["decode-1"] = start.Add(700 * time.Millisecond)
+	_, rejection := pool.Place(start, placementRequest(longPrompt(0)))
+	if rejection == nil || rejection.Reason != "servers-limit" || rejection.RetryAfter != 700*time.Millisecond {
+		t.Errorf("all decode engines at their limits: rejection %+v, want servers-limit and 700ms", rejection)
+	}
+}
--- a/core/lwtqueueplacement/placement.go
+++ b/core/lwtqueueplacement/placement.go
@@ -15,6 +15,8 @@
 	// PrefillTimePerToken is the initial estimate of the time in which a prefill engine
 	// prefills one token.
 	PrefillTimePerToken time.Duration
+	// RateLimits holds the rate limits of the engines. Nil means none.
+	RateLimits RateLimits
 }
 
 // EnginePool places the requests of one service on its engines. It is not safe for
@@ -35,6 +37,9 @@
 
 // NewEnginePool returns a pool without engines.
 func NewEnginePool(options Options) *EnginePool {
+	if options.RateLimits == nil {
+		options.RateLimits = unlimited{}
+	}
 	return &EnginePool{
 		options: options, enginesByID: map[string]*engine{}, prefillSecondsPerToken: options.PrefillTimePerToken.Seconds(),
 		prefixHitRate: initialPrefixHitRate,
@@ -217,7 +222,7 @@
 	prefixHash := hash(request.Request.SharedPrefixKey())
 	preferred := enginePool.preferredEngine(prefixHash, stage)
 	for _, engine := range enginePool.engines {
-		if engine.server.Stage != stage || !engine.usable(now, request) {
+		if engine.server.Stage != stage || !enginePool.usable(now, engine, request) {
 			continue
 		}
 		cached := engine == preferred || now.Sub(engine.prefixSentAt[prefixHash]) < prefixCacheTTL
@@ -264,20 +269,20 @@
 	return best
 }
 
-func (engine *engine) usable(now time.Time, request PlacementRequest) bool {
+func (enginePool *EnginePool) usable(now time.Time, engine *engine, request PlacementRequest) bool {
 	return !engine.server.Draining && !engine.changingStage && !engine.backoff.active(now) &&
-		!request.Excluded[engine.server.ID]
+		!request.Excluded[engine.server.ID] && enginePool.options.RateLimits.Allows(now, engine.server)
 }
 
 // rejectWithoutDecodeEngine rejects a request for which no decode engine is usable.
 func (enginePool *EnginePool) rejectWithoutDecodeEngine(now time.Time) *Rejection {
-	var retryAt time.Time
+	var unavailability unavailability
 	for _, engine := range enginePool.engines {
 		if engine.server.Stage != lwtdiscovery.Prefill && !engine.server.Draining {
-			retryAt = engine.backoff.earlierEnd(now, retryAt)
+			unavailability = unavailability.withServer(now, engine.server, engine.backoff, enginePool.options.RateLimits)
 		}
 	}
-	if rejection := rejectForBackoff(now, retryAt); rejection != nil {
+	if rejection := unavailability.reject(now); rejection != nil {
 		return rejection
 	}
 	return &Rejection{Reason: "no-decode-engine", RetryAfter: noEngineRetryAfter}
@@ -321,7 +326,7 @@
 	var best *engine
 	bestRunning := 0
 	for _, engine := range enginePool.engines {
-		if engine.server.Stage == lwtdiscovery.Prefill || !engine.usable(now, request) {
+		if engine.server.Stage == lwtdiscovery.Prefill || !enginePool.usable(now, engine, request) {
 			continue
 		}
 		running := engine.running(now)
--- a/core/lwtqueueplacement/service.go
+++ b/core/lwtqueueplacement/service.go
@@ -11,6 +11,7 @@
 // is not safe for concurrent use.
 type ServerPool struct {
 	availabilityZone string
+	rateLimits       RateLimits
 	serversByID      map[string]*pooledServer
 	servers          []*pooledServer
 }
@@ -23,9 +24,15 @@
 	backoff   backoff
 }
 
-// NewServerPool returns a pool without servers, for a daemon in an availability zone.
-func NewServerPool(availabilityZone string) *ServerPool {
-	return &ServerPool{availabilityZone: availabilityZone, serversByID: map[string]*pooledServer{}}
+// NewServerPool returns a pool without servers. Options.PrefillTimePerToken is not used.
+func NewServerPool(options Options) *ServerPool {
+	if options.RateLimits == nil {
+		options.RateLimits = unlimited{}
+	}
+	return &ServerPool{
+		availabilityZone: options.AvailabilityZone, rateLimits: options.RateLimits,
+		serversByID: map[string]*pooledServer{},
+	}
 }
 
 // SetServers sets the servers of the service. The state of a server that has restarted is
@@ -53,15 +60,17 @@
 func (serverPool *ServerPool) Place(
 	now time.Time, excluded map[string]bool, start int,
 ) (lwtdiscovery.Server, *Rejection) {
-	var retryAt time.Time
+	var unavailability unavailability
 	candidates := make([]lwtretry.Candidate, 0, len(serverPool.servers))
 	byAddress := map[string]*pooledServer{}
 	for _, pooledServer := range serverPool.servers {
 		if excluded[pooledServer.server.ID] {
 			continue
 		}
-		if pooledServer.backoff.active(now) {
-			retryAt = pooledServer.backoff.earlierEnd(now, retryAt)
+		if pooledServer.backoff.active(now) || !serverPool.rateLimits.Allows(now, pooledServer.server) {
+			if !pooledServer.server.Draining {
+				unavailability = unavailability.withServer(now, pooledServer.server, pooledServer.backoff, serverPool.rateLimits)
+			}
 			continue
 		}
 		byAddress[pooledServer.server.Address] = pooledServer
@@ -73,7 +82,7 @@
 	for _, address := range lwtretry.Rank(now, candidates, start) {
 		return byAddress[address].server, nil
 	}
-	if rejection := rejectForBackoff(now, retryAt); rejection != nil {
+	if rejection := unavailability.reject(now); rejection != nil {
 		return lwtdiscovery.Server{}, rejection
 	}
 	return lwtdiscovery.Server{}, &Rejection{Reason: "no-server", RetryAfter: noServerRetryAfter}
--- /dev/null
+++ b/core/lwtsendlimit/fleet_test.go
@@ -0,0 +1,93 @@
+package lwtsendlimit_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"lacewingtide/core/lwtsendlimit"
+)
+
+// window is the span in which the requests to a limited server are counted.
+const window = 4 * time.Second
+
+// fleet is a set of daemons that all have load for one limited server.
+type fleet struct {
+	names    []string
+	limiters []*lwtsendlimit.Limiter
+	// detectsLossAt holds when each daemon learns of the daemons that are lost at lossAt.
+	detectsLossAt []time.Duration
+	sends         []time.Duration
+}
+
+const (
+	lossAt     = 10 * time.Second
+	duration   = 30 * time.Second
+	simStep    = 20 * time.Millisecond
+	namedAt    = time.Second
+	checkAfter = namedAt + window
+)
+
+func newFleet(random *rand.Rand, daemons int) *fleet {
+	fleet := &fleet{}
+	for i := range daemons {
+		fleet.names = append(fleet.names, fmt.Sprint("d", i))
+	}
+	for _, name := range fleet.names {
+		limiter := lwtsendlimit.New(name)
+		limiter.SetDaemons(start, fleet.names)
+		fleet.limiters = append(fleet.limiters, limiter)
+		fleet.detectsLossAt = append(fleet.detectsLossAt, lossAt+time.Duration(random.Int64N(int64(2*time.Second))))
+	}
+	return fleet
+}
+
+// run lets every daemon send as often as the limiter allows from the moment at which the limit
+// is named. A fifth of the daemons is lost at lossAt.
+func (fleet *fleet) run(perSecond float64) {
+	lost := len(fleet.names) / 5
+	for offset := namedAt; offset < duration; offset += simStep {
+		for i, limiter := range fleet.limiters {
+			if i < lost && offset >= lossAt {
+				continue
+			}
+			if offset >= fleet.detectsLossAt[i] {
+				limiter.SetDaemons(at(offset), fleet.names[lost:])
+			}
+			// Each daemon's or another one's response names the limit.
+			limiter.ObserveResponse(at(offset), at(offset), server("s"), perSecond, true)
+			for limiter.Take(at(offset), server("s")) {
+				fleet.sends = append(fleet.sends, offset)
+			}
+		}
+	}
+}
+
+// TestLimitHoldsInFleets guards against daemons that each keep to a limit, or to an equal share
+// of it, but together exceed it, and against a limit that is not used although all daemons have
+// load.
+func TestLimitHoldsInFleets(t *testing.T) {
+	for _, daemons := range []int{1, 4, 31, 117, 370} {
+		for _, perSecond := range []float64{0, 0.5, 1.9, 6.7, 14.5, 200} {
+			random := rand.New(rand.NewPCG(uint64(daemons), 1))
+			fleet := newFleet(random, daemons)
+			fleet.run(perSecond)
+			most, total := 0, 0
+			for last, send := range fleet.sends {
+				first, _ := slices.BinarySearch(fleet.sends, send-window)
+				if send > checkAfter {
+					total++
+					most = max(most, last-first+1)
+				}
+			}
+			if allowed := int(1.5*perSecond*window.Seconds()) + 5; most > allowed {
+				t.Errorf("%d daemons, %g per second: %d requests in %s, want at most %d", daemons, perSecond, most, window, allowed)
+			}
+			if want := 0.8 * perSecond * (duration - checkAfter).Seconds(); float64(total) < want {
+				t.Errorf("%d daemons, %g per second: %d requests, want at least %.0f", daemons, perSecond, total, want)
+			}
+		}
+	}
+}
--- a/core/lwtsendlimit/limiter.go
+++ b/core/lwtsendlimit/limiter.go
@@ -1,7 +1,11 @@
-// Package lwtsendlimit keeps daemons within the request rates that backend servers name.
+// Package lwtsendlimit keeps the daemons together within the request rates that backend servers
+// name.
 //
-// An overloaded server names in its responses the number of requests per second that it takes
-// from all daemons together.
+// It is designed for one to hundreds of daemons and for overloaded servers that take from less
+// than one to some hundred requests per second from all of them together. An equal share of such
+// a rate may be one request in many seconds; daemons that each saved up a single request would
+// exceed the rate many times over when load arrives. A rate is therefore divided among as many
+// daemons as it allows requests per second, at most, and the others send nothing to the server.
 package lwtsendlimit
 
 import (
@@ -25,26 +29,57 @@
 	ObservedAt time.Time
 }
 
-// Limiter holds the limits of all servers, as one daemon knows them. It is not safe for
-// concurrent use.
+// Limiter holds the limits of all servers and the share of one daemon in each. It is not safe
+// for concurrent use.
 type Limiter struct {
+	self string
+	// daemons holds the names of the live daemons, self included.
+	daemons []string
 	entries map[string]*entry
 }
 
 // entry is the last known limit of a server.
 type entry struct {
 	Limit
+	// bucket holds the requests that this daemon may send.
+	bucket bucket
 	// sent is the number of requests that this daemon has sent since the last call of Usage.
 	sent int
 }
 
-// New returns a limiter without limits.
-func New() *Limiter { return &Limiter{entries: map[string]*entry{}} }
+// New returns a limiter without limits for the daemon with the name self, which is the only one
+// until SetDaemons is called.
+func New(self string) *Limiter {
+	return &Limiter{self: self, daemons: []string{self}, entries: map[string]*entry{}}
+}
 
-// limitTTL is how long a limit is kept after the last response that named it.
-const limitTTL = 5 * time.Second
+// SetDaemons sets the names of the live daemons, self included.
+func (limiter *Limiter) SetDaemons(now time.Time, names []string) {
+	if slices.Equal(limiter.daemons, names) {
+		return
+	}
+	limiter.daemons = slices.Clone(names)
+	for _, entry := range limiter.entries {
+		entry.bucket = entry.bucket.withRate(now, limiter.share(entry.Limit))
+	}
+}
 
-func (entry *entry) expired(now time.Time) bool { return now.Sub(entry.ObservedAt) >= limitTTL }
+// share returns the requests per second that this daemon may send to a server.
+func (limiter *Limiter) share(limit Limit) float64 {
+	return share(limiter.self, limiter.daemons, limit.ServerID, limit.PerSecond)
+}
+
+const (
+	// limitTTL is how long a limit is kept after the last response that named it, in addition
+	// to the time that limitTTLRequests requests take at its rate.
+	limitTTL         = 5 * time.Second
+	limitTTLRequests = 2
+)
+
+func (entry *entry) expired(now time.Time) bool {
+	ttl := limitTTL + time.Duration(limitTTLRequests/max(entry.PerSecond, minRate)*float64(time.Second))
+	return now.Sub(entry.ObservedAt) >= ttl
+}
 
 // ObserveResponse applies the response of a server to a request that was sent at sentAt.
 // Limited says whether it names a limit. Changed is false if nothing new was learned.
@@ -75,18 +110,50 @@
 // apply stores a limit and reports whether it differs from the one before.
 func (limiter *Limiter) apply(now time.Time, limit Limit) (changed bool) {
 	previous := limiter.entries[limit.ServerID]
-	if previous == nil || previous.expired(now) || !previous.StartTime.Equal(limit.StartTime) {
-		limiter.entries[limit.ServerID] = &entry{Limit: limit}
+	known := previous != nil && !previous.expired(now) && previous.StartTime.Equal(limit.StartTime)
+	if !known || previous.Ended && !limit.Ended {
+		limiter.entries[limit.ServerID] = &entry{Limit: limit, bucket: newBucket(now, limiter.share(limit))}
 		return true
 	}
 	changed = previous.Ended != limit.Ended || previous.PerSecond != limit.PerSecond
 	previous.Limit = limit
+	if changed {
+		previous.bucket = previous.bucket.withRate(now, limiter.share(limit))
+	}
 	return changed
 }
 
-// RecordSent counts a request that is sent to a server.
-func (limiter *Limiter) RecordSent(now time.Time, server lwtdiscovery.Server) {
+// Allows reports whether this daemon may send a request to a server now.
+func (limiter *Limiter) Allows(now time.Time, server lwtdiscovery.Server) bool {
+	active := limiter.active(now, server)
+	return active == nil || active.bucket.at(now).available()
+}
+
+// NextAt returns when this daemon may send a request to a server whose limit does not allow one
+// now. The time is zero if the daemon has no share in the limit. Limited is false if the server
+// names no limit.
+func (limiter *Limiter) NextAt(now time.Time, server lwtdiscovery.Server) (at time.Time, limited bool) {
+	active := limiter.active(now, server)
+	if active == nil {
+		return time.Time{}, false
+	}
+	return active.bucket.at(now).nextAt(), true
+}
+
+// Take reports whether this daemon may send a request to a server now, and if so counts it.
+func (limiter *Limiter) Take(now time.Time, server lwtdiscovery.Server) bool {
+	if !limiter.Allows(now, server) {
+		return false
+	}
+	limiter.Charge(now, server)
+	return true
+}
+
+// Charge counts a request that is sent to a server whether or not its limit allows one. Later
+// requests make up for it.
+func (limiter *Limiter) Charge(now time.Time, server lwtdiscovery.Server) {
 	if active := limiter.active(now, server); active != nil {
+		active.bucket = active.bucket.at(now).withSpent()
 		active.sent++
 	}
 }
@@ -94,6 +161,8 @@
 // Usage is the use of the limit of one server by one daemon.
 type Usage struct {
 	Limit
+	// Share is the number of requests per second that the daemon may send.
+	Share float64
 	// Sent is the number of requests that the daemon has sent since the last call.
 	Sent int
 }
@@ -108,7 +177,7 @@
 			continue
 		}
 		if !entry.Ended {
-			usages = append(usages, Usage{Limit: entry.Limit, Sent: entry.sent})
+			usages = append(usages, Usage{Limit: entry.Limit, Share: entry.bucket.perSecond, Sent: entry.sent})
 		}
 		entry.sent = 0
 	}
--- a/core/lwtsendlimit/limiter_test.go
+++ b/core/lwtsendlimit/limiter_test.go
@@ -17,7 +17,7 @@
 // TestOvertakingResponseKeepsLimit guards against a response from before a limit was named
 // ending it because it arrives later.
 func TestOvertakingResponseKeepsLimit(t *testing.T) {
-	limiter := lwtsendlimit.New()
+	limiter := lwtsendlimit.New("self")
 	for _, step := range []struct {
 		name            string
 		sentAt, arrived time.Duration
@@ -42,11 +42,11 @@
 // TestRestartEndsLimit guards against the limit of a server's earlier process being applied
 // after its restart.
 func TestRestartEndsLimit(t *testing.T) {
-	limiter := lwtsendlimit.New()
+	limiter := lwtsendlimit.New("self")
 	limiter.ObserveResponse(at(0), at(0), server("s"), 5, true)
 	restarted := server("s")
 	restarted.StartTime = at(time.Second)
-	limiter.RecordSent(at(time.Second), restarted)
+	limiter.Charge(at(time.Second), restarted)
 	if usage := limiter.Usage(at(time.Second)); len(usage) != 1 || usage[0].Sent != 0 {
 		t.Errorf("usage %+v, want none of the restarted server", usage)
 	}
@@ -55,7 +55,7 @@
 // TestUnconfirmedLimitExpires guards against a limit that is kept forever because its end was
 // missed.
 func TestUnconfirmedLimitExpires(t *testing.T) {
-	limiter := lwtsendlimit.New()
+	limiter := lwtsendlimit.New("self")
 	limiter.ObserveResponse(at(0), at(0), server("s"), 5, true)
 	if usage := limiter.Usage(at(2 * time.Second)); len(usage) != 1 {
 		t.Errorf("usage after 2s %+v, want the limit", usage)
@@ -64,3 +64,23 @@
 		t.Errorf("usage after 20s %+v, want none", usage)
 	}
 }
+
+// TestNamedLimitBeginsWithPause guards against a server that gets its new share at once, on top of
+// the requests that it was sent just before it named the limit.
+func TestNamedLimitBeginsWithPause(t *testing.T) {
+	limiter := lwtsendlimit.New("self")
+	if !limiter.Take(at(0), server("s")) {
+		t.Error("a request to a server without a limit is not allowed")
+	}
+	limiter.ObserveResponse(at(0), at(0), server("s"), 10, true)
+	if limiter.Take(at(900*time.Millisecond), server("s")) {
+		t.Error("a request is allowed 0.9s after the limit was named")
+	}
+	next, limited := limiter.NextAt(at(0), server("s"))
+	if !limited || next.Before(at(time.Second)) || next.After(at(1200*time.Millisecond)) {
+		t.Errorf("next request at %s, limited %v; want between 1s and 1.2s", next.Sub(start), limited)
+	}
+	if !limiter.Take(next, server("s")) {
+		t.Error("no request is allowed at the time that NextAt returned")
+	}
+}
--- a/io/lwtgateway/attempt.go
+++ b/io/lwtgateway/attempt.go
@@ -67,6 +67,10 @@
 func (call *call) prefill() any {
 	placement, start := call.target.placement, time.Now()
 	view := call.gateway.view
+	if !view.takeSend(start, placement.Prefill) {
+		call.excludedServers[placement.Prefill.ID] = true
+		return call.attemptFailure(lwtretry.NotSent, "prefill", errServerLimit)
+	}
 	view.withEnginePool(call.service, func(enginePool *lwtqueueplacement.EnginePool) {
 		enginePool.PrefillStarted(start, call.request, placement)
 	})
@@ -136,7 +140,6 @@
 		return call.matchResponse(header, signed, conn.Reused)
 	}
 	sentAt := time.Now()
-	call.gateway.view.recordSent(sentAt, server)
 	response, err := conn.RoundTrip(call.context, head, call.exchange.Body, call.flow.Deadline(), match)
 	if err == nil {
 		call.gateway.recordResponse(server, call.request.ID, sentAt, &response.Header)
@@ -169,6 +172,10 @@
 // sendRequest sends the request to the server that runs it.
 func (call *call) sendRequest() any {
 	server := call.target.server
+	if !call.gateway.view.takeSend(time.Now(), server) {
+		call.excludedServers[server.ID] = true
+		return call.attemptFailure(lwtretry.NotSent, "run", errServerLimit)
+	}
 	call.recordStart()
 	head := call.requestHeadFor(server.ID, call.appendSendHeaders)
 	maxIdle := maxIdleIfNotRetryable
@@ -332,7 +339,9 @@
 		return 0, nil, err
 	}
 	sentAt := time.Now()
-	gateway.view.recordSent(sentAt, server)
+	if listed {
+		gateway.view.chargeSend(sentAt, server)
+	}
 	match := func(*fasthttp.ResponseHeader) lwthttp.ResponseMatch { return lwthttp.OwnResponse }
 	response, err := conn.RoundTrip(ctx, head, body, sentAt.Add(controlTimeout), match)
 	if err != nil {
--- a/io/lwtgateway/exchange.go
+++ b/io/lwtgateway/exchange.go
@@ -324,7 +324,7 @@
 	}
 	self := lwtloadrelay.Daemon{Name: gateway.settings.Name, AvailabilityZone: gateway.settings.AvailabilityZone}
 	topology := lwtloadrelay.NewTopology(self, daemons, func(name string) bool { return now.Before(avoided[name]) })
-	gateway.updateMembers(live)
+	gateway.updateMembers(now, live)
 
 	loadExchange.mutex.Lock()
 	previous, isFirst := loadExchange.topology, loadExchange.topologyTime.IsZero()
--- a/io/lwtgateway/gateway.go
+++ b/io/lwtgateway/gateway.go
@@ -85,7 +85,7 @@
 		metrics: newMetrics(exportedMetrics.Scope()), timeouts: newTimeoutTracker(), workers: workers, boot: rand.Uint64(),
 		serverRowVersions: map[string]int64{},
 		view: newView(
-			lwtqueueplacement.Options{
+			settings.Name, lwtqueueplacement.Options{
 				AvailabilityZone: settings.AvailabilityZone, PrefillTimePerToken: initialPrefillTimePerToken,
 			},
 			settings.Bounds.retryBudgetLimits()),
--- a/io/lwtgateway/member_rows.go
+++ b/io/lwtgateway/member_rows.go
@@ -64,8 +64,12 @@
 	lwtlog.Info(gateway.logger, "daemon-joined", "daemon", name, "boot", boot, "entry", entry, "source", source)
 }
 
-func (gateway *Gateway) updateMembers(live []member) {
-	gateway.view.setDaemonCount(len(live))
+func (gateway *Gateway) updateMembers(now time.Time, live []member) {
+	names := make([]string, 0, len(live))
+	for _, member := range live {
+		names = append(names, member.Name)
+	}
+	gateway.view.setDaemons(now, names)
 	gateway.orderSender.setMembers(live)
 }
 
--- a/io/lwtgateway/server_limits.go
+++ b/io/lwtgateway/server_limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"lacewingtide/core/lwtdiscovery"
@@ -19,11 +20,19 @@
 	return view.limiter.ObserveResponse(now, sentAt, server, perSecond, limited)
 }
 
-// recordSent counts a request that is sent to a server.
-func (view *view) recordSent(now time.Time, server lwtdiscovery.Server) {
+// takeSend reports whether the limit of a server allows a request now, and if so counts it.
+func (view *view) takeSend(now time.Time, server lwtdiscovery.Server) bool {
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
-	view.limiter.RecordSent(now, server)
+	return view.limiter.Take(now, server)
+}
+
+// chargeSend counts a control request to a server. There are few, and not sending one would
+// leave an engine in the wrong stage or with a KV cache that nobody fetches.
+func (view *view) chargeSend(now time.Time, server lwtdiscovery.Server) {
+	view.mutex.Lock()
+	defer view.mutex.Unlock()
+	view.limiter.Charge(now, server)
 }
 
 // limitUsage returns the use of each server's limit since the last call.
@@ -41,6 +50,10 @@
 		"per-second", limit.PerSecond, "ended", limit.Ended, "request", requestID, "source", source)
 }
 
+// errServerLimit reports that a request was not sent because its server's limit was reached
+// after the request was placed.
+var errServerLimit = fmt.Errorf("request not sent: the request limit of the server is reached")
+
 // limitUsageInterval is the time between two reports of the use of the servers' limits.
 const limitUsageInterval = time.Second
 
@@ -51,7 +64,7 @@
 		for _, usage := range gateway.view.limitUsage(now) {
 			gateway.metrics.CountBy("requests-to-limited-servers", usage.Sent)
 			lwtlog.Info(gateway.logger, "server-limit-used", "server", usage.ServerID, "per-second", usage.PerSecond,
-				"age", now.Sub(usage.ObservedAt).Round(time.Millisecond), "sent", usage.Sent)
+				"share", usage.Share, "age", now.Sub(usage.ObservedAt).Round(time.Millisecond), "sent", usage.Sent)
 		}
 	})
 }
--- a/io/lwtgateway/view.go
+++ b/io/lwtgateway/view.go
@@ -38,11 +38,16 @@
 	serversDigest uint64
 }
 
-func newView(placementOptions lwtqueueplacement.Options, retryLimits lwtretry.SharedBudgetLimits) *view {
+// newView returns the view of the daemon with the name self.
+func newView(
+	self string, placementOptions lwtqueueplacement.Options, retryLimits lwtretry.SharedBudgetLimits,
+) *view {
+	limiter := lwtsendlimit.New(self)
+	placementOptions.RateLimits = limiter
 	return &view{
 		placementOptions: placementOptions, retryLimits: retryLimits, daemonCount: 1,
 		enginePools: map[string]*lwtqueueplacement.EnginePool{}, serverPools: map[string]*lwtqueueplacement.ServerPool{},
-		retryBudgets: map[string]*lwtretry.SharedBudget{}, limiter: lwtsendlimit.New(),
+		retryBudgets: map[string]*lwtretry.SharedBudget{}, limiter: limiter,
 	}
 }
 
@@ -121,7 +126,7 @@
 		service, _ := view.config.Service(name)
 		if service.Engine == nil {
 			if view.serverPools[name] == nil {
-				view.serverPools[name] = lwtqueueplacement.NewServerPool(view.placementOptions.AvailabilityZone)
+				view.serverPools[name] = lwtqueueplacement.NewServerPool(view.placementOptions)
 			}
 			view.serverPools[name].SetServers(view.serversLocked(name))
 			continue
@@ -335,8 +340,10 @@
 	}
 }
 
-func (view *view) setDaemonCount(count int) {
+// setDaemons sets the names of the live daemons, this one included.
+func (view *view) setDaemons(now time.Time, names []string) {
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
-	view.daemonCount = count
+	view.daemonCount = len(names)
+	view.limiter.SetDaemons(now, names)
 }
--- a/io/lwtgateway/view_test.go
+++ b/io/lwtgateway/view_test.go
@@ -18,7 +18,7 @@
 
 func testView() *view {
 	retryLimits := lwtretry.SharedBudgetLimits{Ratio: 0.2, Extra: 40, Window: 10 * time.Second}
-	return newView(lwtqueueplacement.Options{AvailabilityZone: "a", PrefillTimePerToken: time.Microsecond}, retryLimits)
+	return newView("d0", lwtqueueplacement.Options{AvailabilityZone: "a", PrefillTimePerToken: time.Microsecond}, retryLimits)
 }
 
 func testConfig(version int64) lwtroutetable.Config {
@@ -51,7 +51,7 @@
 		return serverSet.WithEntry(lwtdiscovery.Server{ID: "i", Service: "s", Address: "10.0.0.1:1"})
 	})
 	for daemons, want := range map[int]int{1: 120, 4: 30, 400: minConnectionsPerServer} {
-		view.setDaemonCount(daemons)
+		view.setDaemons(time.Unix(0, 0), make([]string, daemons))
 		if got := view.connectionLimit("10.0.0.1:1"); got != want {
 			t.Errorf("%d daemons: %d connections each, want %d", daemons, got, want)
 		}
