Inform the other daemons of a server's limit and of its end

A daemon learned of a limit only from its own responses. Until then it sent at will, and one without a share in the limit never heard of its end: it left the server unused until the limit lapsed.

Change: the message on servers that leave also carries limits; sent when one is named, changed or ended, and once a second while it holds, by whichever daemon has a response first. Reports are ordered by the time of the response and by the server's start.

--- a/core/lwtsendlimit/limiter.go
+++ b/core/lwtsendlimit/limiter.go
@@ -29,6 +29,16 @@
 	ObservedAt time.Time
 }
 
+// Observation is what a daemon has learned of a limit.
+type Observation struct {
+	Limit
+	// Changed reports whether the limit is new, has another rate, or has ended.
+	Changed bool
+	// Due reports whether the other daemons are to be informed: of a change, or from time to
+	// time of a limit that still holds, so that they keep it.
+	Due bool
+}
+
 // Limiter holds the limits of all servers and the share of one daemon in each. It is not safe
 // for concurrent use.
 type Limiter struct {
@@ -43,6 +53,8 @@
 	Limit
 	// bucket holds the requests that this daemon may send.
 	bucket bucket
+	// announcedAt is when the last response arrived of which the daemons were informed.
+	announcedAt time.Time
 	// sent is the number of requests that this daemon has sent since the last call of Usage.
 	sent int
 }
@@ -81,21 +93,37 @@
 	return now.Sub(entry.ObservedAt) >= ttl
 }
 
+// announceInterval is the time after which the daemons are informed again of a limit that still
+// holds. Several such messages may be lost within limitTTL.
+const announceInterval = time.Second
+
 // ObserveResponse applies the response of a server to a request that was sent at sentAt.
-// Limited says whether it names a limit. Changed is false if nothing new was learned.
+// Limited says whether it names a limit.
 func (limiter *Limiter) ObserveResponse(
 	now, sentAt time.Time, server lwtdiscovery.Server, perSecond float64, limited bool,
-) (limit Limit, changed bool) {
-	limit = Limit{
+) Observation {
+	limit := Limit{
 		ServerID: server.ID, StartTime: server.StartTime, PerSecond: perSecond, Ended: !limited, ObservedAt: now,
 	}
 	previous := limiter.active(now, server)
 	// Responses on different connections may overtake each other, so only a response to a
 	// request that was sent after the limit was named ends it.
 	if !limited && (previous == nil || !sentAt.After(previous.ObservedAt)) {
-		return limit, false
+		return Observation{Limit: limit}
+	}
+	return limiter.apply(now, limit)
+}
+
+// ObserveReport applies a limit that another daemon has reported.
+func (limiter *Limiter) ObserveReport(now time.Time, limit Limit) Observation {
+	previous := limiter.entries[limit.ServerID]
+	if previous != nil && !previous.expired(now) {
+		restarted := limit.StartTime.After(previous.StartTime)
+		if !restarted && !limit.ObservedAt.After(previous.ObservedAt) || limit.StartTime.Before(previous.StartTime) {
+			return Observation{Limit: limit}
+		}
 	}
-	return limit, limiter.apply(now, limit)
+	return limiter.apply(now, limit)
 }
 
 // active returns the limit that a server names, or nil if it names none.
@@ -107,20 +135,24 @@
 	return found
 }
 
-// apply stores a limit and reports whether it differs from the one before.
-func (limiter *Limiter) apply(now time.Time, limit Limit) (changed bool) {
-	previous := limiter.entries[limit.ServerID]
-	known := previous != nil && !previous.expired(now) && previous.StartTime.Equal(limit.StartTime)
-	if !known || previous.Ended && !limit.Ended {
-		limiter.entries[limit.ServerID] = &entry{Limit: limit, bucket: newBucket(now, limiter.share(limit))}
-		return true
+// apply stores a limit.
+func (limiter *Limiter) apply(now time.Time, limit Limit) Observation {
+	stored := limiter.entries[limit.ServerID]
+	known := stored != nil && !stored.expired(now) && stored.StartTime.Equal(limit.StartTime)
+	changed := !known || stored.Ended != limit.Ended || stored.PerSecond != limit.PerSecond
+	switch {
+	case !known || stored.Ended && !limit.Ended:
+		stored = &entry{bucket: newBucket(now, limiter.share(limit))}
+		limiter.entries[limit.ServerID] = stored
+	case changed:
+		stored.bucket = stored.bucket.withRate(now, limiter.share(limit))
 	}
-	changed = previous.Ended != limit.Ended || previous.PerSecond != limit.PerSecond
-	previous.Limit = limit
-	if changed {
-		previous.bucket = previous.bucket.withRate(now, limiter.share(limit))
+	stored.Limit = limit
+	due := changed || limit.ObservedAt.Sub(stored.announcedAt) >= announceInterval
+	if due {
+		stored.announcedAt = limit.ObservedAt
 	}
-	return changed
+	return Observation{Limit: limit, Changed: changed, Due: due}
 }
 
 // Allows reports whether this daemon may send a request to a server now.
--- a/core/lwtsendlimit/limiter_test.go
+++ b/core/lwtsendlimit/limiter_test.go
@@ -31,7 +31,7 @@
 		{"newer response without it", 1500 * time.Millisecond, 1600 * time.Millisecond, false, true, false},
 		{"limit named once more", 1700 * time.Millisecond, 1800 * time.Millisecond, true, true, true},
 	} {
-		_, changed := limiter.ObserveResponse(at(step.arrived), at(step.sentAt), server("s"), 5, step.limited)
+		changed := limiter.ObserveResponse(at(step.arrived), at(step.sentAt), server("s"), 5, step.limited).Changed
 		active := len(limiter.Usage(at(step.arrived))) == 1
 		if changed != step.changed || active != step.active {
 			t.Errorf("%s: changed %v, active %v; want %v, %v", step.name, changed, active, step.changed, step.active)
@@ -84,3 +84,37 @@
 		t.Error("no request is allowed at the time that NextAt returned")
 	}
 }
+
+// TestReportedLimits guards against an older report replacing what is known of a limit, against
+// reports of a server's earlier process, and against a message for each response.
+func TestReportedLimits(t *testing.T) {
+	limiter := lwtsendlimit.New("self")
+	report := func(observedAt time.Duration, perSecond float64, ended bool) lwtsendlimit.Limit {
+		return lwtsendlimit.Limit{
+			ServerID: "s", StartTime: start, PerSecond: perSecond, Ended: ended, ObservedAt: at(observedAt),
+		}
+	}
+	earlierProcess := report(5*time.Second, 5, false)
+	earlierProcess.StartTime = start.Add(-time.Minute)
+	for _, step := range []struct {
+		name                 string
+		limit                lwtsendlimit.Limit
+		changed, due, active bool
+	}{
+		{"first report", report(time.Second, 5, false), true, true, true},
+		{"the same, half a second later", report(1500*time.Millisecond, 5, false), false, false, true},
+		{"the same, a second later", report(2*time.Second, 5, false), false, true, true},
+		{"an older end", report(1800*time.Millisecond, 0, true), false, false, true},
+		{"the end", report(3*time.Second, 0, true), true, true, false},
+		{"an older limit", report(2500*time.Millisecond, 5, false), false, false, false},
+		{"another limit", report(3500*time.Millisecond, 9, false), true, true, true},
+		{"an earlier process", earlierProcess, false, false, true},
+	} {
+		got := limiter.ObserveReport(at(5*time.Second), step.limit)
+		active := len(limiter.Usage(at(5*time.Second))) == 1
+		if got.Changed != step.changed || got.Due != step.due || active != step.active {
+			t.Errorf("%s: changed %v, due %v, active %v; want %v, %v, %v",
+				step.name, got.Changed, got.Due, active, step.changed, step.due, step.active)
+		}
+	}
+}
--- a/io/lwtgateway/server_limits.go
+++ b/io/lwtgateway/server_limits.go
@@ -11,15 +11,22 @@
 )
 
 // observeLimit applies whether the response of a server to a request sent at sentAt names a
-// limit of its request rate. Changed is false if nothing new was learned.
+// limit of its request rate.
 func (view *view) observeLimit(
 	now, sentAt time.Time, server lwtdiscovery.Server, perSecond float64, limited bool,
-) (limit lwtsendlimit.Limit, changed bool) {
+) lwtsendlimit.Observation {
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
 	return view.limiter.ObserveResponse(now, sentAt, server, perSecond, limited)
 }
 
+// observeReportedLimit applies a limit that another daemon has reported.
+func (view *view) observeReportedLimit(now time.Time, limit lwtsendlimit.Limit) lwtsendlimit.Observation {
+	view.mutex.Lock()
+	defer view.mutex.Unlock()
+	return view.limiter.ObserveReport(now, limit)
+}
+
 // takeSend reports whether the limit of a server allows a request now, and if so counts it.
 func (view *view) takeSend(now time.Time, server lwtdiscovery.Server) bool {
 	view.mutex.Lock()
@@ -50,6 +57,63 @@
 		"per-second", limit.PerSecond, "ended", limit.Ended, "request", requestID, "source", source)
 }
 
+// serverLimit is the limit of a server's request rate, as reported to other daemons.
+type serverLimit struct {
+	ID string `cbor:"1,keyasint"`
+	// StartedUnixMilli is the server's start time in milliseconds since the Unix epoch, by
+	// its own clock.
+	StartedUnixMilli int64   `cbor:"2,keyasint"`
+	PerSecond        float64 `cbor:"3,keyasint,omitempty"`
+	// Ended says that the server no longer names a limit.
+	Ended bool `cbor:"4,keyasint,omitempty"`
+	// AgeMilliseconds is how long ago the response arrived that named the limit.
+	AgeMilliseconds int64 `cbor:"5,keyasint,omitempty"`
+}
+
+func encodeLimit(now time.Time, limit lwtsendlimit.Limit) serverLimit {
+	return serverLimit{
+		ID: limit.ServerID, StartedUnixMilli: limit.StartTime.UnixMilli(), PerSecond: limit.PerSecond, Ended: limit.Ended,
+		AgeMilliseconds: now.Sub(limit.ObservedAt).Milliseconds(),
+	}
+}
+
+func (limit serverLimit) decode(now time.Time) lwtsendlimit.Limit {
+	return lwtsendlimit.Limit{
+		ServerID: limit.ID, StartTime: time.UnixMilli(limit.StartedUnixMilli), PerSecond: limit.PerSecond,
+		Ended: limit.Ended, ObservedAt: now.Add(-time.Duration(limit.AgeMilliseconds) * time.Millisecond),
+	}
+}
+
+// recordLimit applies whether a response names a limit and informs the other daemons.
+func (gateway *Gateway) recordLimit(
+	server lwtdiscovery.Server, requestID string, sentAt time.Time, perSecond float64, limited bool,
+) {
+	now := time.Now()
+	observation := gateway.view.observeLimit(now, sentAt, server, perSecond, limited)
+	if observation.Changed {
+		gateway.logLimit(observation.Limit, requestID, "answer")
+	}
+	if observation.Due {
+		gateway.sendServerMessage("", serverMessage{Limits: []serverLimit{encodeLimit(now, observation.Limit)}})
+	}
+}
+
+// applyLimits applies limits that another daemon has reported, and returns those that are due
+// for other daemons.
+func (gateway *Gateway) applyLimits(daemon string, limits []serverLimit) (due []serverLimit) {
+	now := time.Now()
+	for _, limit := range limits {
+		observation := gateway.view.observeReportedLimit(now, limit.decode(now))
+		if observation.Changed {
+			gateway.logLimit(observation.Limit, "", daemon)
+		}
+		if observation.Due {
+			due = append(due, limit)
+		}
+	}
+	return due
+}
+
 // errServerLimit reports that a request was not sent because its server's limit was reached
 // after the request was placed.
 var errServerLimit = fmt.Errorf("request not sent: the request limit of the server is reached")
--- a/io/lwtgateway/server_responses.go
+++ b/io/lwtgateway/server_responses.go
@@ -25,10 +25,7 @@
 		lwtlog.Info(gateway.logger, "server-pause", "server", server.ID, "request", requestID, "span", backoff)
 	}
 	perSecond, limited := gateway.protocol.RequestLimit(header)
-	limit, changed := gateway.view.observeLimit(time.Now(), sentAt, server, perSecond, limited)
-	if changed {
-		gateway.logLimit(limit, requestID, "answer")
-	}
+	gateway.recordLimit(server, requestID, sentAt, perSecond, limited)
 }
 
 func (gateway *Gateway) logServerDraining(id string, started time.Time, requestID, source string) {
--- a/io/lwtgateway/server_updates.go
+++ b/io/lwtgateway/server_updates.go
@@ -16,6 +16,8 @@
 	Rows []serverRow `cbor:"1,keyasint,omitempty"`
 	// Draining identifies servers whose responses say that they are draining.
 	Draining []drainingServer `cbor:"2,keyasint,omitempty"`
+	// Limits holds request limits that responses of servers name, or no longer name.
+	Limits []serverLimit `cbor:"3,keyasint,omitempty"`
 }
 
 // serverChange is a changed entry of a backend server.
@@ -86,7 +88,8 @@
 	}
 	updates := encodeChanges(gateway.applyServerChanges(time.Now(), changes, from.Name))
 	updates.Draining = gateway.applyDraining(from.Name, message.Draining)
-	if len(updates.Rows) > 0 || len(updates.Draining) > 0 {
+	updates.Limits = gateway.applyLimits(from.Name, message.Limits)
+	if len(updates.Rows) > 0 || len(updates.Draining) > 0 || len(updates.Limits) > 0 {
 		gateway.sendServerMessage(from.Name, updates)
 	}
 }
