Send no run to an engine whose backoff began during the prefill

Callers saw requests refused late; the engine got the runs of all prompts that were being prefilled when it asked for a backoff, twice each: a breach of the rule on 503 with Retry-After.

ChooseDecode keeps its engine if none is usable, and a run that is refused with its KV cache goes to the same engine once more without a placement.

TestNoRunDuringBackoffAfterPrefill failed first: 16 requests reached an engine during its backoff, 8 of them a second time.

Ruled out: a check in ChooseDecode alone, which would leave the second run and the time between placing and sending.

--- a/io/lwtgateway/attempt.go
+++ b/io/lwtgateway/attempt.go
@@ -67,9 +67,9 @@
 func (call *call) prefill() any {
 	placement, start := call.target.placement, time.Now()
 	view := call.gateway.view
-	if !view.takeSend(start, placement.Prefill) {
+	if err := view.admit(start, placement.Prefill); err != nil {
 		call.excludedServers[placement.Prefill.ID] = true
-		return call.attemptFailure(lwtretry.NotSent, "prefill", errServerLimit)
+		return call.attemptFailure(lwtretry.NotSent, "prefill", err)
 	}
 	view.withEnginePool(call.service, func(enginePool *lwtqueueplacement.EnginePool) {
 		enginePool.PrefillStarted(start, call.request, placement)
@@ -172,9 +172,9 @@
 // sendRequest sends the request to the server that runs it.
 func (call *call) sendRequest() any {
 	server := call.target.server
-	if !call.gateway.view.takeSend(time.Now(), server) {
+	if err := call.gateway.view.admit(time.Now(), server); err != nil {
 		call.excludedServers[server.ID] = true
-		return call.attemptFailure(lwtretry.NotSent, "run", errServerLimit)
+		return call.attemptFailure(lwtretry.NotSent, "run", err)
 	}
 	call.recordStart()
 	head := call.requestHeadFor(server.ID, call.appendSendHeaders)
--- a/io/lwtgateway/server_limits.go
+++ b/io/lwtgateway/server_limits.go
@@ -27,11 +27,19 @@
 	return view.limiter.ObserveReport(now, limit)
 }
 
-// takeSend reports whether the limit of a server allows a request now, and if so counts it.
-func (view *view) takeSend(now time.Time, server lwtdiscovery.Server) bool {
+// admit returns an error if a server takes no request of a caller now, and otherwise counts the
+// request in the server's limit. It is called for each request right before it is sent: since it
+// was placed, the server may have requested a backoff or reached its limit.
+func (view *view) admit(now time.Time, server lwtdiscovery.Server) error {
+	if view.inBackoff(now, server) {
+		return errServerBackoff
+	}
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
-	return view.limiter.Take(now, server)
+	if !view.limiter.Take(now, server) {
+		return errServerLimit
+	}
+	return nil
 }
 
 // chargeSend counts a control request to a server. There are few, and not sending one would
