Reject a prompt at once if no prefill engine is usable

Callers got a 503 after four attempts to reach a server without an address, or the time until then of their deadline, with a Retry-After of 0.1 s.

TestNoPlacementWithoutServer failed first (no server, no rejection).

--- a/core/lwtqueueplacement/limit_test.go
+++ b/core/lwtqueueplacement/limit_test.go
@@ -1,6 +1,7 @@
 package lwtqueueplacement_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -72,3 +73,22 @@
 		t.Errorf("all decode engines at their limits: rejection %+v, want servers-limit and 700ms", rejection)
 	}
 }
+
+// TestNoPlacementWithoutServer guards against a request that is placed on no server, because all
+// prefill engines have asked for a backoff and the decode engines are busy.
+func TestNoPlacementWithoutServer(t *testing.T) {
+	pool := newEnginePool(3, 2)
+	for i := range 3 {
+		pool.ApplyBackoff(start, fmt.Sprint("prefill-", i), 1500*time.Millisecond)
+	}
+	for i := range 2 {
+		for range 12 {
+			pool.DecodeStarted(fmt.Sprint("decode-", i))
+		}
+	}
+	placement, rejection := pool.Place(start, placementRequest(longPrompt(0)))
+	if rejection == nil || rejection.Reason != "servers-pause" || rejection.RetryAfter != 1500*time.Millisecond {
+		t.Errorf("placement on %q and %q, rejection %+v; want servers-pause and 1.5s",
+			placement.Prefill.ID, placement.Decode.ID, rejection)
+	}
+}
--- a/core/lwtqueueplacement/placement.go
+++ b/core/lwtqueueplacement/placement.go
@@ -116,7 +116,7 @@
 func (enginePool *EnginePool) Place(now time.Time, request PlacementRequest) (Placement, *Rejection) {
 	decodeEngine := enginePool.chooseInitialDecode(now, request)
 	if decodeEngine == nil {
-		return Placement{}, enginePool.rejectWithoutDecodeEngine(now)
+		return Placement{}, enginePool.rejectWithoutEngine(now, lwtdiscovery.Decode, "no-decode-engine")
 	}
 	if rejection := enginePool.rejectIfDecodeFull(now, decodeEngine); rejection != nil {
 		return Placement{}, rejection
@@ -149,7 +149,7 @@
 }
 
 // prefillOnDecodeEngine places both stages on a decode engine if the prefill engines are
-// full. Overloaded is the best placement with a prefill engine. A decode engine prefills at
+// full or none is usable. Overloaded is the best placement with a prefill engine, or zero. A decode engine prefills at
 // half the speed, interleaved with decode steps, so it takes one prompt at a time and only
 // while it decodes few requests.
 func (enginePool *EnginePool) prefillOnDecodeEngine(
@@ -161,6 +161,9 @@
 		placement.Decode, placement.Prefill, placement.PrefillOverflow = placement.Prefill, lwtdiscovery.Server{}, true
 		return placement, nil
 	}
+	if overloaded.Prefill.ID == "" {
+		return Placement{}, enginePool.rejectWithoutEngine(now, lwtdiscovery.Prefill, "no-prefill-engine")
+	}
 	return overloaded, enginePool.rejectIfLate(request, overloaded)
 }
 
@@ -179,7 +182,7 @@
 	// decodeFullRetryAfter is the retry delay if the decode engines are full. A chat runs for
 	// some seconds.
 	decodeFullRetryAfter = 400 * time.Millisecond
-	// noEngineRetryAfter is the retry delay if there is no decode engine.
+	// noEngineRetryAfter is the retry delay if there is no engine for a stage.
 	noEngineRetryAfter = 500 * time.Millisecond
 	// firstEventOverhead is the time from the end of the prefill to the first event at the
 	// caller: the KV cache transfer, the first decode step, and two network hops.
@@ -274,18 +277,20 @@
 		!request.Excluded[engine.server.ID] && enginePool.options.RateLimits.Allows(now, engine.server)
 }
 
-// rejectWithoutDecodeEngine rejects a request for which no decode engine is usable.
-func (enginePool *EnginePool) rejectWithoutDecodeEngine(now time.Time) *Rejection {
+// rejectWithoutEngine rejects a request for which no engine of a stage is usable. Reason is used
+// if neither backoffs nor rate limits are the cause.
+func (enginePool *EnginePool) rejectWithoutEngine(now time.Time, stage lwtdiscovery.Stage, reason string) *Rejection {
 	var unavailability unavailability
 	for _, engine := range enginePool.engines {
-		if engine.server.Stage != lwtdiscovery.Prefill && !engine.server.Draining {
+		prefills := engine.server.Stage == lwtdiscovery.Prefill
+		if prefills == (stage == lwtdiscovery.Prefill) && !engine.server.Draining {
 			unavailability = unavailability.withServer(now, engine.server, engine.backoff, enginePool.options.RateLimits)
 		}
 	}
 	if rejection := unavailability.reject(now); rejection != nil {
 		return rejection
 	}
-	return &Rejection{Reason: "no-decode-engine", RetryAfter: noEngineRetryAfter}
+	return &Rejection{Reason: reason, RetryAfter: noEngineRetryAfter}
 }
 
 // recentlyFailed reports whether the engine has failed recently. Such an engine is the last
