Charge no retry for a prefill that was not sent

Callers got a refusal without budget, or their prompt was prefilled by a decode engine, although another prefill engine was free: a prefill that could not be sent, now also because its engine's limit was reached since the placement, spent the retry budget and counted as a failed one.

The scripted case prefill-that-was-not-sent-is-no-retry failed first (reject, not-sent-no-budget). A prefill that no engine got is now counted neither in the budget nor among the two attempts after which the decode engine prefills; the four placements of a request still bound it.

--- a/core/lwtqueueplacement/placement.go
+++ b/core/lwtqueueplacement/placement.go
@@ -149,9 +149,9 @@
 }
 
 // prefillOnDecodeEngine places both stages on a decode engine if the prefill engines are
-// full or none is usable. Overloaded is the best placement with a prefill engine, or zero. A decode engine prefills at
-// half the speed, interleaved with decode steps, so it takes one prompt at a time and only
-// while it decodes few requests.
+// full or none is usable. Overloaded is the best placement with a prefill engine, or zero. A
+// decode engine prefills at half the speed, interleaved with decode steps, so it takes one
+// prompt at a time and only while it decodes few requests.
 func (enginePool *EnginePool) prefillOnDecodeEngine(
 	now time.Time, request PlacementRequest, overloaded Placement,
 ) (Placement, *Rejection) {
--- a/core/lwtrequestflow/message.go
+++ b/core/lwtrequestflow/message.go
@@ -131,6 +131,9 @@
 func (flow Flow) stepFailed(now time.Time, step Step, message Failed) (Flow, Step) {
 	flow.reason = message.Reason
 	if step == Prefill {
+		if message.Outcome == lwtretry.NotSent {
+			flow.prefills--
+		}
 		return flow.prefillFailed(now)
 	}
 	if message.Outcome == lwtretry.NotSent {
--- a/core/lwtrequestflow/requestflow.go
+++ b/core/lwtrequestflow/requestflow.go
@@ -75,7 +75,8 @@
 	// lastEventID is the id of the last event that the caller has received.
 	lastEventID string
 	placements  int
-	prefills    int
+	// prefills counts the prefill engines to which the prompt was sent.
+	prefills int
 	// attempts counts the servers to which the request was sent.
 	attempts int
 	// mayHaveRun is set once an attempt may have run the request.
