Share the store's rate of calls among the daemons

Callers saw nothing yet. Each daemon on the platform had a budget of 1,000 calls a second by itself, 117 of them 117,000 where the store takes 3,200 writes; calls beyond that get 429 and are priced.

The budget is now the lower of the two rates, divided by the live daemons.

--- a/cmd/lacewingtide-entry/main.go
+++ b/cmd/lacewingtide-entry/main.go
@@ -48,9 +48,8 @@
 	if err != nil {
 		return err
 	}
-	store := platform.NewStore(
-		lwtplatform.New(settings.Store.Address, lwtgateway.StoreTimeout).SetMaxBackoff(lwtgateway.StoreMaxBackoff),
-	)
+	store := platform.NewStore(lwtplatform.New(settings.Store.Address, lwtgateway.StoreTimeout).
+		SetMaxBackoff(lwtgateway.StoreMaxBackoff).SetFleetRate(settings.Store.CallsPerSecond()))
 	gateway, err := lwtgateway.New(settings, platform.Protocol{}, store, exportedMetrics, logger)
 	if err != nil {
 		return err
--- a/io/lwtgateway/member_rows.go
+++ b/io/lwtgateway/member_rows.go
@@ -70,6 +70,7 @@
 		names = append(names, member.Name)
 	}
 	gateway.view.setDaemons(now, names)
+	gateway.store.SetDaemonCount(len(live))
 	gateway.orderSender.setMembers(live)
 }
 
--- a/io/lwtgateway/settings.go
+++ b/io/lwtgateway/settings.go
@@ -41,6 +41,15 @@
 	ReadsPerSecond  float64 `toml:"reads-per-second"`
 }
 
+// CallsPerSecond returns the rate of calls of all daemons together that keeps within both rates,
+// whatever the share of writes. Zero means that neither is set.
+func (storeSettings StoreSettings) CallsPerSecond() float64 {
+	if storeSettings.WritesPerSecond <= 0 || storeSettings.ReadsPerSecond <= 0 {
+		return max(storeSettings.WritesPerSecond, storeSettings.ReadsPerSecond)
+	}
+	return min(storeSettings.WritesPerSecond, storeSettings.ReadsPerSecond)
+}
+
 // VMLimits holds the limits of the daemon's VM.
 type VMLimits struct {
 	MemoryMegabytes int `toml:"memory-megabytes"`
--- a/io/lwtgateway/store.go
+++ b/io/lwtgateway/store.go
@@ -19,6 +19,8 @@
 	Changes(table string, after int64, wait, timeout time.Duration) (rows []platform.Row, version int64, err error)
 	CompareAndSwap(row platform.Row, timeout time.Duration) (current platform.Row, applied bool, err error)
 	Set(row platform.Row, timeout time.Duration) error
+	// SetDaemonCount sets the number of daemons that share the store's capacity.
+	SetDaemonCount(count int)
 }
 
 // Timeouts and intervals of calls to the store.
--- a/io/lwtplatform/client.go
+++ b/io/lwtplatform/client.go
@@ -83,6 +83,8 @@
 	http    *fasthttp.HostClient
 	mutex   sync.Mutex
 	limiter callLimiter
+	// fleetRate is the budget of all daemons together in calls per second.
+	fleetRate float64
 }
 
 // New returns a client of the services at an address (IP:port). Each call except those by
@@ -91,7 +93,7 @@
 	return &Client{
 		address: address,
 		timeout: timeout,
-		limiter: newCallLimiter(time.Now(), fleetCallsPerSecond),
+		limiter: newCallLimiter(time.Now(), defaultFleetRate), fleetRate: defaultFleetRate,
 		http: &fasthttp.HostClient{
 			Addr:                      address,
 			Dial:                      dial,
@@ -114,7 +116,17 @@
 func (client *Client) SetDaemonCount(count int) {
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
-	client.limiter = client.limiter.withRate(fleetCallsPerSecond / float64(max(count, 1)))
+	client.limiter = client.limiter.withRate(client.fleetRate / float64(max(count, 1)))
+}
+
+// SetFleetRate sets the budget of all daemons together in calls per second and returns the
+// client. Zero keeps the default. It must be called before the first call.
+func (client *Client) SetFleetRate(callsPerSecond float64) *Client {
+	if callsPerSecond > 0 {
+		client.fleetRate = callsPerSecond
+		client.limiter = client.limiter.withRate(callsPerSecond)
+	}
+	return client
 }
 
 const (
@@ -124,9 +136,9 @@
 	// connection. A call on a closed connection counts as lost, and the infrequent polls
 	// in a large fleet would hit one every time.
 	idleTimeout = 2 * time.Second
-	// fleetCallsPerSecond is the budget of all daemons together, about half of the store's
-	// capacity.
-	fleetCallsPerSecond = 1000
+	// defaultFleetRate is the budget of all daemons together in calls per second, about half
+	// of the store's capacity.
+	defaultFleetRate = 1000
 )
 
 // keepAlive detects a connection that goes silent while a call waits for its response.
