Let relays read the daemons' rows while the relays change

Callers: lookups missed live daemons, and loads and states of a group did not reach another, for up to 20 s.

Relays forward the states of their own group only, and a relay that receives any messages read the rows every 20 s.

Change: a relay reads the rows every 4 s, as the readers of the store do, until 9 s after its set of relays last changed. Ruled out: reading them so often all the time, which at 117 VMs is 2.75 reads of 117 rows a second instead of 0.75; forwarding all states between relays, which grows with the fleet.

--- a/io/lwtgateway/exchange.go
+++ b/io/lwtgateway/exchange.go
@@ -31,6 +31,9 @@
 	subscriberTTL = time.Second
 	// topologyInterval is the time between two computations of the relay topology.
 	topologyInterval = 200 * time.Millisecond
+	// relayChangeTime is how long the relays count as changing after a change. It allows for
+	// two reads of the daemons' rows.
+	relayChangeTime = 2*storeReaderInterval + time.Second
 )
 
 // loadExchange reports this daemon's pending load to other daemons and, on a relay, forwards
@@ -44,6 +47,8 @@
 	network      *lwtpeer.Network
 	topology     lwtloadrelay.Topology
 	topologyTime time.Time
+	// relaysChangedAt is when the topology last had other relays than the one before.
+	relaysChangedAt time.Time
 	// avoidedUntil holds, by relay, until when it must not be chosen.
 	avoidedUntil map[string]time.Time
 	// lastRelayContact is when this daemon's relay last sent a message or was chosen.
@@ -102,6 +107,13 @@
 	return loadExchange.topologyTime.IsZero() || loadExchange.topology.FullMesh()
 }
 
+// relaysChanged reports whether this daemon is a relay and the relays have changed recently.
+func (loadExchange *loadExchange) relaysChanged(now time.Time) bool {
+	loadExchange.mutex.Lock()
+	defer loadExchange.mutex.Unlock()
+	return loadExchange.topology.IsRelay() && now.Sub(loadExchange.relaysChangedAt) < relayChangeTime
+}
+
 // connected reports whether this daemon receives updates from others: from its relay or,
 // if it is a relay, from any other relay.
 func (loadExchange *loadExchange) connected(now time.Time) bool {
@@ -329,6 +341,9 @@
 	loadExchange.mutex.Lock()
 	previous, isFirst := loadExchange.topology, loadExchange.topologyTime.IsZero()
 	loadExchange.topology, loadExchange.topologyTime = topology, now
+	if !slices.Equal(previous.OtherRelays(), topology.OtherRelays()) {
+		loadExchange.relaysChangedAt = now
+	}
 	changed := isFirst || previous.Relay() != topology.Relay()
 	if changed {
 		loadExchange.lastRelayContact, loadExchange.ownReporter = now, lwtqueueplacement.LoadReporter{}
--- a/io/lwtgateway/member_rows.go
+++ b/io/lwtgateway/member_rows.go
@@ -31,14 +31,15 @@
 }
 
 // memberReadInterval returns the time between two reads of all rows. A daemon that receives
-// messages from others learns from them which daemons are live, so it reads less often.
+// messages from others learns from them which daemons are live, so it reads less often. While
+// the relays change, those that don't know each other yet exchange no messages.
 func (gateway *Gateway) memberReadInterval(now time.Time, writeInterval time.Duration) time.Duration {
 	switch {
 	case gateway.loadExchange.isFullMesh():
 		return writeInterval
 	case !gateway.loadExchange.connected(now):
 		return isolatedReadInterval
-	case gateway.loadExchange.readsStore():
+	case gateway.loadExchange.readsStore(), gateway.loadExchange.relaysChanged(now):
 		return storeReaderInterval
 	}
 	return maxMemberInterval
