Test that a limit holds while members change

A mutant that fills the bucket at each change of the members survived TestLimitHoldsInFleets, where they change once. The number of requests in the tests is bounded, since a mutant without counting sent them without end.

--- a/core/lwtsendlimit/fleet_test.go
+++ b/core/lwtsendlimit/fleet_test.go
@@ -28,6 +28,8 @@
 	simStep    = 20 * time.Millisecond
 	namedAt    = time.Second
 	checkAfter = namedAt + window
+	// maxSends bounds the requests of a fleet that no limit holds.
+	maxSends = 1 << 17
 )
 
 func newFleet(random *rand.Rand, daemons int) *fleet {
@@ -58,13 +60,31 @@
 			}
 			// Each daemon's or another one's response names the limit.
 			limiter.ObserveResponse(at(offset), at(offset), server("s"), perSecond, true)
-			for limiter.Take(at(offset), server("s")) {
-				fleet.sends = append(fleet.sends, offset)
-			}
+			fleet.sendAll(offset, limiter)
 		}
 	}
 }
 
+// sendAll sends as often as a limiter allows.
+func (fleet *fleet) sendAll(offset time.Duration, limiter *lwtsendlimit.Limiter) {
+	for limiter.Take(at(offset), server("s")) && len(fleet.sends) < maxSends {
+		fleet.sends = append(fleet.sends, offset)
+	}
+}
+
+// mostInWindow returns the most requests of any window that ends after checkAfter, and the number
+// of requests after checkAfter.
+func (fleet *fleet) mostInWindow() (most, total int) {
+	for last, send := range fleet.sends {
+		first, _ := slices.BinarySearch(fleet.sends, send-window)
+		if send > checkAfter {
+			total++
+			most = max(most, last-first+1)
+		}
+	}
+	return most, total
+}
+
 // TestLimitHoldsInFleets guards against daemons that each keep to a limit, or to an equal share
 // of it, but together exceed it, and against a limit that is not used although all daemons have
 // load.
@@ -74,14 +94,7 @@
 			random := rand.New(rand.NewPCG(uint64(daemons), 1))
 			fleet := newFleet(random, daemons)
 			fleet.run(perSecond)
-			most, total := 0, 0
-			for last, send := range fleet.sends {
-				first, _ := slices.BinarySearch(fleet.sends, send-window)
-				if send > checkAfter {
-					total++
-					most = max(most, last-first+1)
-				}
-			}
+			most, total := fleet.mostInWindow()
 			if allowed := int(1.5*perSecond*window.Seconds()) + 5; most > allowed {
 				t.Errorf("%d daemons, %g per second: %d requests in %s, want at most %d", daemons, perSecond, most, window, allowed)
 			}
@@ -91,3 +104,28 @@
 		}
 	}
 }
+
+// TestLimitHoldsWhileMembersChange guards against requests that each change of the members adds,
+// as when daemons are restarted one after the other.
+func TestLimitHoldsWhileMembersChange(t *testing.T) {
+	for _, daemons := range []int{4, 31, 117} {
+		const perSecond = 6.7
+		fleet := newFleet(rand.New(rand.NewPCG(uint64(daemons), 1)), daemons)
+		for offset, step := namedAt, 0; offset < duration; offset, step = offset+simStep, step+1 {
+			// Every 0.1 s another daemon is missing for all others. It goes on sending.
+			missing := step / 5 % daemons
+			for i, limiter := range fleet.limiters {
+				if i != missing {
+					names := slices.Clone(fleet.names)
+					limiter.SetDaemons(at(offset), slices.Delete(names, missing, missing+1))
+				}
+				limiter.ObserveResponse(at(offset), at(offset), server("s"), perSecond, true)
+				fleet.sendAll(offset, limiter)
+			}
+		}
+		if most, _ := fleet.mostInWindow(); most > int(1.5*perSecond*window.Seconds())+5 {
+			t.Errorf("%d daemons: %d requests in %s, want at most %d",
+				daemons, most, window, int(1.5*perSecond*window.Seconds())+5)
+		}
+	}
+}
