Keep a server's limit when a response names a malformed one

A header that is no rate was read like an absent one and so ended the limit. It is now logged as server-limit-ignored and changes nothing.

--- a/io/lwtgateway/protocol.go
+++ b/io/lwtgateway/protocol.go
@@ -47,8 +47,8 @@
 	// or zero.
 	RetryAfter(header *fasthttp.ResponseHeader) time.Duration
 	// RequestLimit returns the number of requests per second that a server takes from all
-	// daemons together, if the response names one.
-	RequestLimit(header *fasthttp.ResponseHeader) (perSecond float64, limited bool)
+	// daemons together, if the response names one. The error says that it is malformed.
+	RequestLimit(header *fasthttp.ResponseHeader) (perSecond float64, limited bool, err error)
 	// DecodePrefill returns the handle of the KV cache from the response to a prefill-only
 	// request.
 	DecodePrefill(body []byte) (handle string, err error)
--- a/io/lwtgateway/server_responses.go
+++ b/io/lwtgateway/server_responses.go
@@ -24,7 +24,12 @@
 		gateway.metrics.Count("server-pauses")
 		lwtlog.Info(gateway.logger, "server-pause", "server", server.ID, "request", requestID, "span", backoff)
 	}
-	perSecond, limited := gateway.protocol.RequestLimit(header)
+	perSecond, limited, err := gateway.protocol.RequestLimit(header)
+	if err != nil {
+		// It neither sets nor ends a limit.
+		lwtlog.Warn(gateway.logger, "server-limit-ignored", "server", server.ID, "request", requestID, "err", err)
+		return
+	}
 	gateway.recordLimit(server, requestID, sentAt, perSecond, limited)
 }
 
