Derive the retry delay from the first server that is available again

Usage lines of servers in which a daemon has no share are no longer written: 117 daemons would write one a second each for every limited server.

--- a/core/lwtqueueplacement/backoff.go
+++ b/core/lwtqueueplacement/backoff.go
@@ -20,12 +20,3 @@
 }
 
 func (backoff backoff) active(now time.Time) bool { return now.Before(backoff.end) }
-
-// earlierEnd returns the earlier of end and the end of the backoff, if the backoff is active.
-// A zero end means none.
-func (backoff backoff) earlierEnd(now, end time.Time) time.Time {
-	if backoff.active(now) && (end.IsZero() || backoff.end.Before(end)) {
-		return backoff.end
-	}
-	return end
-}
--- a/core/lwtqueueplacement/limit.go
+++ b/core/lwtqueueplacement/limit.go
@@ -28,46 +28,50 @@
 // daemons. A retry probably reaches one of them.
 const noShareRetryAfter = time.Second
 
-// unavailability collects why the servers that could take a request take none now: their
-// backoffs or rate limits. The zero value holds no server.
+// unavailability says why the servers that could take a request take none now, and when the first
+// of them does again. The zero value holds no server.
 type unavailability struct {
-	// backoffEnd and limitEnd are the earliest times at which a server in backoff, or at its
-	// limit, takes a request again. They are zero if there is none.
-	backoffEnd, limitEnd time.Time
-	limited              bool
+	// retryAt is when the first server takes a request again, or zero if that is not known for
+	// any. Reason says what keeps it from doing so before.
+	retryAt time.Time
+	reason  string
+	// limited is set if a server is at its rate limit.
+	limited bool
 }
 
 // withServer adds a server.
 func (unavailability unavailability) withServer(
 	now time.Time, server lwtdiscovery.Server, backoff backoff, rateLimits RateLimits,
 ) unavailability {
-	if backoff.active(now) {
-		unavailability.backoffEnd = backoff.earlierEnd(now, unavailability.backoffEnd)
-		return unavailability
+	at, reason := backoff.end, reasonBackoff
+	if !backoff.active(now) {
+		var limited bool
+		if at, limited = rateLimits.NextAt(now, server); !limited {
+			return unavailability
+		}
+		reason, unavailability.limited = reasonLimit, true
 	}
-	at, limited := rateLimits.NextAt(now, server)
-	unavailability.limited = unavailability.limited || limited
-	if limited && !at.IsZero() && (unavailability.limitEnd.IsZero() || at.Before(unavailability.limitEnd)) {
-		unavailability.limitEnd = at
+	if !at.IsZero() && (unavailability.retryAt.IsZero() || at.Before(unavailability.retryAt)) {
+		unavailability.retryAt, unavailability.reason = at, reason
 	}
 	return unavailability
 }
 
+// Reasons of rejections, as logged.
+const (
+	reasonBackoff = "servers-pause"
+	reasonLimit   = "servers-limit"
+)
+
 // reject rejects a request for which no server is available, or returns nil if neither a backoff
 // nor a limit is the reason.
 func (unavailability unavailability) reject(now time.Time) *Rejection {
 	switch {
-	case !unavailability.limitEnd.IsZero():
-		return &Rejection{Reason: "servers-limit", RetryAfter: retryAfterUntil(now, unavailability.limitEnd)}
+	case !unavailability.retryAt.IsZero():
+		delay := min(max(unavailability.retryAt.Sub(now), minRetryAfter), maxRetryAfter)
+		return &Rejection{Reason: unavailability.reason, RetryAfter: delay}
 	case unavailability.limited:
-		return &Rejection{Reason: "servers-limit", RetryAfter: noShareRetryAfter}
-	case !unavailability.backoffEnd.IsZero():
-		return &Rejection{Reason: "servers-pause", RetryAfter: retryAfterUntil(now, unavailability.backoffEnd)}
+		return &Rejection{Reason: reasonLimit, RetryAfter: noShareRetryAfter}
 	}
 	return nil
 }
-
-// retryAfterUntil returns the retry delay of a request that can be served from a moment on.
-func retryAfterUntil(now, from time.Time) time.Duration {
-	return min(max(from.Sub(now), minRetryAfter), maxRetryAfter)
-}
--- a/core/lwtqueueplacement/limit_test.go
+++ b/core/lwtqueueplacement/limit_test.go
@@ -68,6 +68,7 @@
 		}
 	}
 	limits["decode-1"] = start.Add(700 * time.Millisecond)
+	pool.ApplyBackoff(start, "decode-0", 2*time.Second)
 	_, rejection := pool.Place(start, placementRequest(longPrompt(0)))
 	if rejection == nil || rejection.Reason != "servers-limit" || rejection.RetryAfter != 700*time.Millisecond {
 		t.Errorf("all decode engines at their limits: rejection %+v, want servers-limit and 700ms", rejection)
--- a/io/lwtgateway/server_limits.go
+++ b/io/lwtgateway/server_limits.go
@@ -129,11 +129,14 @@
 // limitUsageInterval is the time between two reports of the use of the servers' limits.
 const limitUsageInterval = time.Second
 
-// reportLimitUsage logs, for each server that names a limit, how many requests this daemon has
-// sent to it.
+// reportLimitUsage logs, for each server that names a limit, this daemon's share of it and how many
+// requests it has sent.
 func (gateway *Gateway) reportLimitUsage(ctx context.Context) error {
 	return runEvery(ctx, limitUsageInterval, func(now time.Time) {
 		for _, usage := range gateway.view.limitUsage(now) {
+			if usage.Sent == 0 && usage.Share == 0 {
+				continue
+			}
 			gateway.metrics.CountBy("requests-to-limited-servers", usage.Sent)
 			lwtlog.Info(gateway.logger, "server-limit-used", "server", usage.ServerID, "per-second", usage.PerSecond,
 				"share", usage.Share, "age", now.Sub(usage.ObservedAt).Round(time.Millisecond), "sent", usage.Sent)
