--- a/core/lwtqueueplacement/limit_test.go
+++ b/core/lwtqueueplacement/limit_test.go
@@ -68,11 +68,16 @@
 		}
 	}
 	limits["decode-1"] = start.Add(700 * time.Millisecond)
-	pool.ApplyBackoff(start, "decode-0", 2*time.Second)
 	_, rejection := pool.Place(start, placementRequest(longPrompt(0)))
 	if rejection == nil || rejection.Reason != "servers-limit" || rejection.RetryAfter != 700*time.Millisecond {
 		t.Errorf("all decode engines at their limits: rejection %+v, want servers-limit and 700ms", rejection)
 	}
+	limits["decode-1"] = start.Add(1900 * time.Millisecond)
+	pool.ApplyBackoff(start, "decode-0", 800*time.Millisecond)
+	_, rejection = pool.Place(start, placementRequest(longPrompt(0)))
+	if rejection == nil || rejection.Reason != "servers-pause" || rejection.RetryAfter != 800*time.Millisecond {
+		t.Errorf("a backoff that ends before the limit: rejection %+v, want servers-pause and 800ms", rejection)
+	}
 }
 
 // TestNoPlacementWithoutServer guards against a request that is placed on no server, because all
