Confirm a removed server to all relays

Cause, from its log: edge-ro-central-a-6, with an outage of its own, read the removal first and reported it unconfirmed (kept=true). The readers b-2, a-7 and c-7 had no outage and dropped the server (kept=false), but forwarded their confirmation to their own groups only, since the report came from a relay. Ten daemons in the groups of other relays, c-1 and c-3 among them, kept it for 2.5 s from the report on and until the next check.

Change: removals that a daemon confirms and the sender did not go to the other relays too. A relay that gets a confirmed one only forwards it to its group, so nothing goes round.

--- a/io/lwtgateway/server_updates.go
+++ b/io/lwtgateway/server_updates.go
@@ -46,6 +46,21 @@
 	gateway.sendServerMessage("", encodeChanges(changes))
 }
 
+// newlyConfirmed returns the removals among the applied changes that this daemon confirms, but the
+// daemon that sent them did not.
+func newlyConfirmed(received, applied []serverChange) (confirmed []serverChange) {
+	confirmedBySender := map[string]bool{}
+	for _, change := range received {
+		confirmedBySender[change.Key] = change.removalConfirmed
+	}
+	for _, change := range applied {
+		if change.Deleted && change.removalConfirmed && !confirmedBySender[change.Key] {
+			confirmed = append(confirmed, change)
+		}
+	}
+	return confirmed
+}
+
 func encodeChanges(changes []serverChange) serverMessage {
 	var message serverMessage
 	for _, change := range changes {
@@ -86,7 +101,11 @@
 			removalConfirmed: row.RemovalConfirmed,
 		})
 	}
-	updates := encodeChanges(gateway.applyServerChanges(time.Now(), changes, from.Name))
+	applied := gateway.applyServerChanges(time.Now(), changes, from.Name)
+	// The sender has not confirmed these to the relays that it told, so they are not only
+	// forwarded.
+	gateway.announceChanges(newlyConfirmed(changes, applied))
+	updates := encodeChanges(applied)
 	updates.Draining = gateway.applyDraining(from.Name, message.Draining)
 	updates.Limits = gateway.applyLimits(from.Name, message.Limits)
 	if len(updates.Rows) > 0 || len(updates.Draining) > 0 || len(updates.Limits) > 0 {
