Drop kept servers when their grace period ends

The check now runs every 0.1 s.

It also read the set of servers, released the lock and stored the result, so that a change in between was lost; both are now done under the lock.

--- a/io/lwtgateway/store.go
+++ b/io/lwtgateway/store.go
@@ -38,6 +38,8 @@
 	// polling is of no use here: each server writes about once a second, so a poll would
 	// return immediately.
 	minServerReadInterval = 500 * time.Millisecond
+	// expiryInterval is the time between two checks for servers whose grace period has ended.
+	expiryInterval = 100 * time.Millisecond
 	// serverReadIntervalPerDaemon is the time between two reads in a full mesh, per live
 	// daemon. The daemon that reads a change sends it to the others.
 	serverReadIntervalPerDaemon = 60 * time.Millisecond
@@ -222,7 +224,7 @@
 	gateway.serversFollower.Store(tableFollower)
 	go func() {
 		// The supervisor waits for run; the expiry ends with the same ctx.
-		_ = runEvery(ctx, minServerReadInterval, gateway.expireServers)
+		_ = runEvery(ctx, expiryInterval, gateway.expireServers)
 	}()
 	return tableFollower.run(ctx, gateway.serversInterval)
 }
@@ -256,12 +258,8 @@
 }
 
 func (gateway *Gateway) expireServers(now time.Time) {
-	gateway.view.mutex.Lock()
-	serverSet, expired := gateway.view.serverSet.WithoutExpired(now)
-	gateway.view.mutex.Unlock()
-	if expired {
-		gateway.view.updateServers(func(lwtdiscovery.ServerSet) lwtdiscovery.ServerSet { return serverSet })
-		lwtlog.Info(gateway.logger, "servers-expired", "left", len(serverSet.Servers()))
+	if left, expired := gateway.view.expireServers(now); expired {
+		lwtlog.Info(gateway.logger, "servers-expired", "left", left)
 	}
 }
 
--- a/io/lwtgateway/view.go
+++ b/io/lwtgateway/view.go
@@ -87,6 +87,18 @@
 	view.rebuildLocked()
 }
 
+// expireServers removes the servers whose grace period has ended. It returns the number of servers
+// left, and whether any was removed.
+func (view *view) expireServers(now time.Time) (left int, expired bool) {
+	view.mutex.Lock()
+	defer view.mutex.Unlock()
+	if view.serverSet, expired = view.serverSet.WithoutExpired(now); !expired {
+		return 0, false
+	}
+	view.rebuildLocked()
+	return len(view.serverSet.Servers()), true
+}
+
 // setDraining marks the incarnation of a server with a start time as draining. It reports
 // whether that has changed the set of servers.
 func (view *view) setDraining(id string, started time.Time) (changed bool) {
