--- a/core/lwtqueueplacement/limit_test.go
+++ b/core/lwtqueueplacement/limit_test.go
@@ -22,8 +22,7 @@
 	return at, limited
 }
 
-// TestServerAtLimitIsSkipped guards against requests to a server at its limit while another one
-// could take them, and against queueing or delaying requests when none can.
+// TestServerAtLimitIsSkipped guards against requests to a server at its limit, and waiting when all are.
 func TestServerAtLimitIsSkipped(t *testing.T) {
 	soon, late := start.Add(1500*time.Millisecond), start.Add(time.Minute)
 	for _, test := range []struct {
@@ -51,8 +50,7 @@
 	}
 }
 
-// TestEngineAtLimitIsSkipped guards against prompts and decodes on an engine at its limit while
-// others could take them.
+// TestEngineAtLimitIsSkipped guards against prompts and decodes on an engine at its limit.
 func TestEngineAtLimitIsSkipped(t *testing.T) {
 	limits := rateLimits{}
 	pool := lwtqueueplacement.NewEnginePool(lwtqueueplacement.Options{
@@ -80,8 +78,7 @@
 	}
 }
 
-// TestNoPlacementWithoutServer guards against a request that is placed on no server, because all
-// prefill engines have asked for a backoff and the decode engines are busy.
+// TestNoPlacementWithoutServer guards against a request that is placed on no server and not rejected.
 func TestNoPlacementWithoutServer(t *testing.T) {
 	pool := newEnginePool(3, 2)
 	for i := range 3 {
--- a/core/lwtsendlimit/fleet_test.go
+++ b/core/lwtsendlimit/fleet_test.go
@@ -85,9 +85,7 @@
 	return most, total
 }
 
-// TestLimitHoldsInFleets guards against daemons that each keep to a limit, or to an equal share
-// of it, but together exceed it, and against a limit that is not used although all daemons have
-// load.
+// TestLimitHoldsInFleets guards against limits that daemons keep alone but exceed together, or do not use.
 func TestLimitHoldsInFleets(t *testing.T) {
 	for _, daemons := range []int{1, 4, 31, 117, 370} {
 		for _, perSecond := range []float64{0, 0.5, 1.9, 6.7, 14.5, 200} {
@@ -105,8 +103,7 @@
 	}
 }
 
-// TestLimitHoldsWhileMembersChange guards against requests that each change of the members adds,
-// as when daemons are restarted one after the other.
+// TestLimitHoldsWhileMembersChange guards against requests that each change of the members adds.
 func TestLimitHoldsWhileMembersChange(t *testing.T) {
 	for _, daemons := range []int{4, 31, 117} {
 		const perSecond = 6.7
--- a/core/lwtsendlimit/limiter_test.go
+++ b/core/lwtsendlimit/limiter_test.go
@@ -14,8 +14,7 @@
 
 func server(id string) lwtdiscovery.Server { return lwtdiscovery.Server{ID: id, StartTime: start} }
 
-// TestOvertakingResponseKeepsLimit guards against a response from before a limit was named
-// ending it because it arrives later.
+// TestOvertakingResponseKeepsLimit guards against a response from before a limit was named ending it.
 func TestOvertakingResponseKeepsLimit(t *testing.T) {
 	limiter := lwtsendlimit.New("self")
 	for _, step := range []struct {
@@ -39,8 +38,7 @@
 	}
 }
 
-// TestRestartEndsLimit guards against the limit of a server's earlier process being applied
-// after its restart.
+// TestRestartEndsLimit guards against the limit of a server's earlier process being applied.
 func TestRestartEndsLimit(t *testing.T) {
 	limiter := lwtsendlimit.New("self")
 	limiter.ObserveResponse(at(0), at(0), server("s"), 5, true)
@@ -52,8 +50,7 @@
 	}
 }
 
-// TestUnconfirmedLimitExpires guards against a limit that is kept forever because its end was
-// missed.
+// TestUnconfirmedLimitExpires guards against a limit that is kept forever because its end was missed.
 func TestUnconfirmedLimitExpires(t *testing.T) {
 	limiter := lwtsendlimit.New("self")
 	limiter.ObserveResponse(at(0), at(0), server("s"), 5, true)
@@ -65,8 +62,7 @@
 	}
 }
 
-// TestNamedLimitBeginsWithPause guards against a server that gets its new share at once, on top of
-// the requests that it was sent just before it named the limit.
+// TestNamedLimitBeginsWithPause guards against a new share on top of what was sent just before.
 func TestNamedLimitBeginsWithPause(t *testing.T) {
 	limiter := lwtsendlimit.New("self")
 	if !limiter.Take(at(0), server("s")) {
@@ -85,8 +81,7 @@
 	}
 }
 
-// TestReportedLimits guards against an older report replacing what is known of a limit, against
-// reports of a server's earlier process, and against a message for each response.
+// TestReportedLimits guards against outdated reports, and a message for each response.
 func TestReportedLimits(t *testing.T) {
 	limiter := lwtsendlimit.New("self")
 	report := func(observedAt time.Duration, perSecond float64, ended bool) lwtsendlimit.Limit {
