Log the prompt segments of failed attempts

The logs could not tell requests that share a crashing part from engines that fail under load: attempt-failed named neither the parts of the prompt nor whether an event had come.

It now has segments, the shared parts (16 at most), and events, those that this attempt delivered. One request that crashes several engines, and engines that fail under load, are ruled out.

--- a/core/lwtroutetable/request.go
+++ b/core/lwtroutetable/request.go
@@ -25,10 +25,15 @@
 	LastEventID string
 }
 
+// SharedSegments returns the segments that other requests may have too: all but the last.
+func (request Request) SharedSegments() []PromptSegment {
+	return request.Segments[:max(len(request.Segments)-1, 0)]
+}
+
 // SharedPrefixTokens returns the number of tokens in all segments but the last.
 func (request Request) SharedPrefixTokens() int {
 	tokens := 0
-	for _, segment := range request.Segments[:max(len(request.Segments)-1, 0)] {
+	for _, segment := range request.SharedSegments() {
 		tokens += segment.Tokens
 	}
 	return tokens
--- a/io/lwtgateway/attempt.go
+++ b/io/lwtgateway/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -258,7 +259,7 @@
 // it.
 func (call *call) recordStart() {
 	id := call.target.server.ID
-	call.countedAtServer = true
+	call.countedAtServer, call.attemptEvents = true, 0
 	if call.target.isEngine {
 		call.gateway.view.withEnginePool(call.service, func(enginePool *lwtqueueplacement.EnginePool) {
 			enginePool.DecodeStarted(id)
@@ -311,12 +312,27 @@
 		serverID = call.target.placement.Prefill.ID
 	}
 	lwtlog.Info(call.gateway.logger, "attempt-failed", "request", call.request.ID, "server", serverID, "step", step,
-		"outcome", outcome.String(), "begun", call.exchange.ResponseBegun(), "err", err)
+		"outcome", outcome.String(), "begun", call.exchange.ResponseBegun(), "events", call.attemptEvents,
+		"segments", sharedSegmentIDs(call.request), "err", err)
 	return lwtrequestflow.Failed{
 		Outcome: outcome, PartiallyDelivered: call.exchange.ResponseBegun(), Reason: step + "-" + outcome.String(),
 	}
 }
 
+// maxLoggedSegments bounds the length of a log line.
+const maxLoggedSegments = 16
+
+// sharedSegmentIDs returns the comma-separated IDs of the prompt segments that a request shares
+// with others, for logs.
+func sharedSegmentIDs(request lwtroutetable.Request) string {
+	shared := request.SharedSegments()
+	ids := make([]string, 0, min(len(shared), maxLoggedSegments))
+	for _, segment := range shared[:min(len(shared), maxLoggedSegments)] {
+		ids = append(ids, segment.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // deleteKVCache asks an engine to free a KV cache.
 func (gateway *Gateway) deleteKVCache(ctx context.Context, address, handle string) {
 	head := []byte("DELETE " + gateway.protocol.KVHandlePath(handle) + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n")
--- a/io/lwtgateway/call.go
+++ b/io/lwtgateway/call.go
@@ -35,6 +35,8 @@
 	// kvHandle identifies the KV cache that a prefill engine holds for this request.
 	kvHandle string
 	response *lwthttp.Response
+	// attemptEvents is the number of events that the current attempt has delivered.
+	attemptEvents int
 	// deliveredStatus is the status of the response that was delivered completely, or 0.
 	deliveredStatus int
 	// countedAtServer is true while the request is counted in the pending load of its
--- a/io/lwtgateway/deliver.go
+++ b/io/lwtgateway/deliver.go
@@ -123,7 +123,7 @@
 func (call *call) forwardEvents() any {
 	var pending []byte
 	lastID := ""
-	events, forwarded := 0, 0
+	forwarded := 0
 	buffer := make([]byte, 4<<10)
 	for {
 		n, err := call.response.Read(buffer)
@@ -135,8 +135,8 @@
 			completeLength = len(pending)
 		}
 		if completeLength > 0 {
-			events += bytes.Count(pending[:completeLength], eventTerminator)
-			if forwarded += completeLength; call.exceedsLimits(events, forwarded) {
+			call.attemptEvents += bytes.Count(pending[:completeLength], eventTerminator)
+			if forwarded += completeLength; call.exceedsLimits(forwarded) {
 				return call.deliveryFailure(errResponseTooLong, lastID)
 			}
 			if !call.writeEvents(pending[:completeLength]) {
@@ -170,9 +170,9 @@
 
 // exceedsLimits reports whether a stream exceeds the byte limit or has more events than the
 // requested output tokens allow. Each event carries at least one token.
-func (call *call) exceedsLimits(events, bytes int) bool {
+func (call *call) exceedsLimits(bytes int) bool {
 	outputTokens := call.request.OutputTokens
-	return bytes > maxResponseBytes || outputTokens > 0 && events > outputTokens+extraEvents
+	return bytes > maxResponseBytes || outputTokens > 0 && call.attemptEvents > outputTokens+extraEvents
 }
 
 func (call *call) endEventStream() any {
