Keep requests with a prompt segment that crashes engines away from all

Cause: each daemon took the failure of a request as one of its engine (RecordFailure) and sent the next request to an engine that was still up. Nobody related the failures of different requests, at one daemon or at several. Class: a failure that the content of a request causes is counted against the server, so that every further try does the same harm elsewhere.

Ruled out by the new log fields of attempt-failed: a single request that is sent to several engines (part lists have one attempt), and engines that fail under load (the first crash comes with one request in flight).

Change: lwtquarantine. A daemon whose engine breaks off responses and then refuses a connection reports the crash, with the shared segments of the requests that may have caused it, to all daemons. A segment in two crashes that was never answered, or in five that was, is quarantined everywhere; the decision is kept in the store's table quarantine, exchanged by digest, and ends with an answered request, by a probe of one daemon or after an hour. It is checked when a request is placed and again when it is sent.

--- a/io/lwtgateway/attempt.go
+++ b/io/lwtgateway/attempt.go
@@ -68,7 +68,7 @@
 func (call *call) prefill() any {
 	placement, start := call.target.placement, time.Now()
 	view := call.gateway.view
-	if err := view.admit(start, placement.Prefill); err != nil {
+	if err := call.admit(start, placement.Prefill); err != nil {
 		call.excludedServers[placement.Prefill.ID] = true
 		return call.attemptFailure(lwtretry.NotSent, "prefill", err)
 	}
@@ -93,6 +93,9 @@
 	})
 	if err != nil {
 		call.excludedServers[placement.Prefill.ID] = true
+		if outcome == lwtretry.Unknown {
+			call.suspectCrash(placement.Prefill, err)
+		}
 		return call.attemptFailure(outcome, "prefill", err)
 	}
 	call.kvHandle = handle
@@ -173,7 +176,7 @@
 // sendRequest sends the request to the server that runs it.
 func (call *call) sendRequest() any {
 	server := call.target.server
-	if err := call.gateway.view.admit(time.Now(), server); err != nil {
+	if err := call.admit(time.Now(), server); err != nil {
 		call.excludedServers[server.ID] = true
 		return call.attemptFailure(lwtretry.NotSent, "run", err)
 	}
@@ -188,6 +191,7 @@
 		call.recordEnd(outcome != lwtretry.Rejected && call.context.Err() == nil)
 		if outcome != lwtretry.NotSent {
 			call.kvHandle = ""
+			call.suspectCrash(server, err)
 		}
 		call.excludedServers[server.ID] = true
 		return call.attemptFailure(outcome, "run", err)
@@ -259,7 +263,7 @@
 // it.
 func (call *call) recordStart() {
 	id := call.target.server.ID
-	call.countedAtServer, call.attemptEvents = true, 0
+	call.countedAtServer, call.sentAt = true, time.Now()
 	if call.target.isEngine {
 		call.gateway.view.withEnginePool(call.service, func(enginePool *lwtqueueplacement.EnginePool) {
 			enginePool.DecodeStarted(id)
--- a/io/lwtgateway/call.go
+++ b/io/lwtgateway/call.go
@@ -35,8 +35,13 @@
 	// kvHandle identifies the KV cache that a prefill engine holds for this request.
 	kvHandle string
 	response *lwthttp.Response
-	// attemptEvents is the number of events that the current attempt has delivered.
+	// sentAt is when the current attempt began. attemptEvents is the number of events that it has
+	// delivered, and firstEventAt is when it delivered the first one.
+	sentAt        time.Time
 	attemptEvents int
+	firstEventAt  time.Time
+	// quarantined is the segment because of which the request was rejected, or empty.
+	quarantined string
 	// deliveredStatus is the status of the response that was delivered completely, or 0.
 	deliveredStatus int
 	// countedAtServer is true while the request is counted in the pending load of its
@@ -112,6 +117,11 @@
 // chooseServers places the request on the servers of the next attempt.
 func (call *call) chooseServers() any {
 	now := time.Now()
+	call.attemptEvents = 0
+	if entry, admitted := call.gateway.view.admitSegments(now, call.service, call.request); !admitted {
+		call.quarantined = entry.Segment
+		return lwtrequestflow.NotPlaced{Reason: "segment-quarantined", RetryAfter: quarantineRetryAfter(now, entry)}
+	}
 	request := lwtqueueplacement.PlacementRequest{
 		Request: call.request, TimeToObjective: call.timeToObjective(now), TimeToDeadline: call.flow.Deadline().Sub(now),
 		SingleEngine: call.flow.SingleEngine(), Excluded: call.excludedServers,
@@ -166,6 +176,7 @@
 // finish sends the daemon's own response, if the flow requires one, and logs the outcome.
 func (call *call) finish(step lwtrequestflow.Step) {
 	call.freeKVCache()
+	call.gateway.view.endProbe(time.Now(), call.request.ID)
 	status := call.deliveredStatus
 	switch step {
 	case lwtrequestflow.Reject:
@@ -197,7 +208,7 @@
 		"waiting", call.target.placement.QueueTime.Round(time.Millisecond),
 		"prefill-time", call.target.placement.PrefillTime.Round(time.Millisecond),
 		"cached", call.target.placement.PrefixCached, "sent", call.flow.Attempts(), "tokens", call.request.PromptTokens,
-		"retry-after", call.flow.RetryAfter().Round(time.Millisecond))
+		"quarantined", call.quarantined, "retry-after", call.flow.RetryAfter().Round(time.Millisecond))
 }
 
 // rejectEarly rejects a request with status 503 before it is placed.
--- a/io/lwtgateway/deliver.go
+++ b/io/lwtgateway/deliver.go
@@ -40,6 +40,9 @@
 	_, delivered := message.(lwtrequestflow.Delivered)
 	if delivered {
 		call.deliveredStatus = status
+		if call.target.isEngine && status < fasthttp.StatusMultipleChoices {
+			call.recordAnswer()
+		}
 	} else {
 		call.excludedServers[call.target.server.ID] = true
 	}
@@ -71,6 +74,7 @@
 }
 
 func (call *call) deliveryFailure(err error, lastEventID string) any {
+	call.suspectCrash(call.target.server, err)
 	message := call.attemptFailure(lwtretry.Unknown, "answer", err)
 	if failed, ok := message.(lwtrequestflow.Failed); ok {
 		failed.LastEventID = lastEventID
@@ -135,6 +139,9 @@
 			completeLength = len(pending)
 		}
 		if completeLength > 0 {
+			if call.attemptEvents == 0 {
+				call.firstEventAt = time.Now()
+			}
 			call.attemptEvents += bytes.Count(pending[:completeLength], eventTerminator)
 			if forwarded += completeLength; call.exceedsLimits(forwarded) {
 				return call.deliveryFailure(errResponseTooLong, lastID)
--- a/io/lwtgateway/exchange.go
+++ b/io/lwtgateway/exchange.go
@@ -62,9 +62,11 @@
 	subscriberLoads *lwtloadrelay.Collector
 	groupLoads      *lwtloadrelay.Collector
 	// ownReporter reports this daemon's load, groupReporter that of its group.
-	ownReporter      lwtqueueplacement.LoadReporter
-	groupReporter    lwtqueueplacement.LoadReporter
-	states           stateTable
+	ownReporter   lwtqueueplacement.LoadReporter
+	groupReporter lwtqueueplacement.LoadReporter
+	states        stateTable
+	// quarantineSentAt holds when the whole quarantine was last sent to a daemon.
+	quarantineSentAt map[string]time.Time
 	lastRelayMessage time.Time
 }
 
@@ -73,6 +75,7 @@
 		reportSignal: make(chan struct{}, 1), avoidedUntil: map[string]time.Time{},
 		subscribers: map[string]time.Time{}, peerRelays: map[string]time.Time{},
 		subscriberLoads: lwtloadrelay.NewCollector(), groupLoads: lwtloadrelay.NewCollector(), states: newStateTable(),
+		quarantineSentAt: map[string]time.Time{},
 	}
 }
 
@@ -146,10 +149,15 @@
 // recentContacts deletes the daemons whose last contact is older than subscriberTTL and
 // returns the names of the others, sorted.
 func recentContacts(now time.Time, lastContact map[string]time.Time) []string {
-	maps.DeleteFunc(lastContact, func(_ string, at time.Time) bool { return now.Sub(at) >= subscriberTTL })
+	deleteOlder(now, lastContact, subscriberTTL)
 	return slices.Sorted(maps.Keys(lastContact))
 }
 
+// deleteOlder deletes the daemons whose time is at least age ago.
+func deleteOlder(now time.Time, times map[string]time.Time, age time.Duration) {
+	maps.DeleteFunc(times, func(_ string, at time.Time) bool { return now.Sub(at) >= age })
+}
+
 // recipients returns the daemons to which this daemon sends a message that it received from
 // another daemon, or that it originates if from is empty. A relay sends it to its group, and
 // to the other relays unless it came from one of them. This prevents forwarding loops.
--- a/io/lwtgateway/gateway.go
+++ b/io/lwtgateway/gateway.go
@@ -39,10 +39,12 @@
 	timeouts        *timeoutTracker
 	workers         *ants.Pool
 	// boot identifies this process of the daemon. It is random.
-	boot         uint64
-	members      *members
-	orderSender  *orderSender
-	loadExchange *loadExchange
+	boot           uint64
+	members        *members
+	orderSender    *orderSender
+	loadExchange   *loadExchange
+	crashDetector  *crashDetector
+	quarantineRows *quarantineRows
 
 	// serverRowVersions holds the newest row version seen for each server, by row key.
 	// It is guarded by the mutex of view.
@@ -99,6 +101,8 @@
 	gateway.members = newMembers(settings, gateway.boot)
 	gateway.orderSender = newOrderSender(gateway)
 	gateway.loadExchange = newLoadExchange()
+	gateway.crashDetector = newCrashDetector(gateway)
+	gateway.quarantineRows = newQuarantineRows()
 	return gateway, nil
 }
 
@@ -208,17 +212,18 @@
 func (gateway *Gateway) newSupervisor(listeners listeners) *suture.Supervisor {
 	supervisor := suture.New("daemon", suture.Spec{EventHook: gateway.logSupervisorEvent})
 	for name, serve := range map[string]func(context.Context) error{
-		"config":    gateway.followConfig,
-		"servers":   gateway.followServers,
-		"members":   gateway.followMembers,
-		"exchange":  func(ctx context.Context) error { return gateway.exchangeLoads(ctx, listeners.peer) },
-		"orders":    gateway.orderSender.serve,
-		"sweep":     gateway.sweepIdleConnections,
-		"limits":    gateway.reportLimitUsage,
-		"entry":     func(context.Context) error { return gateway.entryServer.Serve(listeners.entry) },
-		"readiness": gateway.serveAuxiliary(listeners.readiness, gateway.serveReadiness),
-		"lookup":    gateway.serveAuxiliary(listeners.lookup, gateway.serveLookup),
-		"metrics":   gateway.serveAuxiliary(listeners.metrics, gateway.exportedMetrics.Handle),
+		"config":     gateway.followConfig,
+		"servers":    gateway.followServers,
+		"quarantine": gateway.followQuarantine,
+		"members":    gateway.followMembers,
+		"exchange":   func(ctx context.Context) error { return gateway.exchangeLoads(ctx, listeners.peer) },
+		"orders":     gateway.orderSender.serve,
+		"sweep":      gateway.sweepIdleConnections,
+		"limits":     gateway.reportLimitUsage,
+		"entry":      func(context.Context) error { return gateway.entryServer.Serve(listeners.entry) },
+		"readiness":  gateway.serveAuxiliary(listeners.readiness, gateway.serveReadiness),
+		"lookup":     gateway.serveAuxiliary(listeners.lookup, gateway.serveLookup),
+		"metrics":    gateway.serveAuxiliary(listeners.metrics, gateway.exportedMetrics.Handle),
 	} {
 		supervisor.Add(component{name: name, serve: serve})
 	}
--- a/io/lwtgateway/server_updates.go
+++ b/io/lwtgateway/server_updates.go
@@ -18,6 +18,15 @@
 	Draining []drainingServer `cbor:"2,keyasint,omitempty"`
 	// Limits holds request limits that responses of servers name, or no longer name.
 	Limits []serverLimit `cbor:"3,keyasint,omitempty"`
+	// Crashes holds crashes of engines.
+	Crashes []crashReport `cbor:"4,keyasint,omitempty"`
+	// Quarantine holds decisions about prompt segments that may crash engines.
+	Quarantine []quarantineEntry `cbor:"5,keyasint,omitempty"`
+}
+
+func (message serverMessage) empty() bool {
+	return len(message.Rows) == 0 && len(message.Draining) == 0 && len(message.Limits) == 0 && len(message.Crashes) == 0 &&
+		len(message.Quarantine) == 0
 }
 
 // serverChange is a changed entry of a backend server.
@@ -108,7 +117,12 @@
 	updates := encodeChanges(applied)
 	updates.Draining = gateway.applyDraining(from.Name, message.Draining)
 	updates.Limits = gateway.applyLimits(from.Name, message.Limits)
-	if len(updates.Rows) > 0 || len(updates.Draining) > 0 || len(updates.Limits) > 0 {
+	updates.Crashes = gateway.applyCrashes(from.Name, message.Crashes)
+	now := time.Now()
+	for _, entry := range gateway.applyQuarantine(from.Name, decodeQuarantine(now, message.Quarantine)) {
+		updates.Quarantine = append(updates.Quarantine, encodeQuarantine(now, entry))
+	}
+	if !updates.empty() {
 		gateway.sendServerMessage(from.Name, updates)
 	}
 }
--- a/io/lwtgateway/states.go
+++ b/io/lwtgateway/states.go
@@ -87,6 +87,8 @@
 	EntryAddress     string `cbor:"11,keyasint,omitempty"`
 	PeerAddress      string `cbor:"12,keyasint,omitempty"`
 	AvailabilityZone string `cbor:"13,keyasint,omitempty"`
+	// QuarantineDigest is a digest of the quarantined segments.
+	QuarantineDigest uint64 `cbor:"14,keyasint,omitempty"`
 }
 
 // withReachablePeriod returns the state with the period in which the daemon reached the
@@ -258,6 +260,7 @@
 		Name: gateway.settings.Name, Boot: gateway.boot, Ready: gateway.serving(), ConfigVersion: config.Version,
 		ServersDigest: gateway.view.digest(), EntryAddress: gateway.settings.EntryAddress,
 		PeerAddress: gateway.settings.PeerAddress, AvailabilityZone: gateway.settings.AvailabilityZone,
+		QuarantineDigest: gateway.view.quarantineDigest(now),
 	}
 	state.HoldsOrderLease, state.EnginesChangingStage = gateway.orderSender.state()
 	if reachable, known := gateway.storeReachablePeriod(now); known {
@@ -289,4 +292,7 @@
 	if state.Name == relay {
 		gateway.compareServersDigest(now, state.ServersDigest)
 	}
+	if state.Name == from.Name {
+		gateway.syncQuarantine(now, from.Name, state.QuarantineDigest)
+	}
 }
--- a/io/lwtgateway/store.go
+++ b/io/lwtgateway/store.go
@@ -19,6 +19,7 @@
 	Changes(table string, after int64, wait, timeout time.Duration) (rows []platform.Row, version int64, err error)
 	CompareAndSwap(row platform.Row, timeout time.Duration) (current platform.Row, applied bool, err error)
 	Set(row platform.Row, timeout time.Duration) error
+	Remove(row platform.Row, timeout time.Duration) error
 	// SetDaemonCount sets the number of daemons that share the store's capacity.
 	SetDaemonCount(count int)
 }
@@ -200,6 +201,13 @@
 		onRecovered: func(lwtdiscovery.Outage) {},
 	}
 	gateway.configFollower.Store(tableFollower)
+	// A daemon with a configuration serves requests, so it must know first which ones crash
+	// engines.
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-gateway.quarantineRows.read:
+	}
 	return tableFollower.run(ctx, func() time.Duration {
 		tableFollower.pollTimeout = configPollTimeout
 		if !gateway.loadExchange.readsStore() {
--- a/io/lwtgateway/view.go
+++ b/io/lwtgateway/view.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lacewingtide/core/lwtdiscovery"
+	"lacewingtide/core/lwtquarantine"
 	"lacewingtide/core/lwtqueueplacement"
 	"lacewingtide/core/lwtretry"
 	"lacewingtide/core/lwtroutetable"
@@ -33,6 +34,7 @@
 	serverPools   map[string]*lwtqueueplacement.ServerPool
 	retryBudgets  map[string]*lwtretry.SharedBudget
 	limiter       *lwtsendlimit.Limiter
+	quarantine    *lwtquarantine.Quarantine
 	byID          map[string]lwtdiscovery.Server
 	byAddress     map[string]lwtdiscovery.Server
 	serversDigest uint64
@@ -47,7 +49,7 @@
 	return &view{
 		placementOptions: placementOptions, retryLimits: retryLimits, daemonCount: 1,
 		enginePools: map[string]*lwtqueueplacement.EnginePool{}, serverPools: map[string]*lwtqueueplacement.ServerPool{},
-		retryBudgets: map[string]*lwtretry.SharedBudget{}, limiter: limiter,
+		retryBudgets: map[string]*lwtretry.SharedBudget{}, limiter: limiter, quarantine: lwtquarantine.New(self),
 	}
 }
 
@@ -358,4 +360,5 @@
 	defer view.mutex.Unlock()
 	view.daemonCount = len(names)
 	view.limiter.SetDaemons(now, names)
+	view.quarantine.SetDaemons(names)
 }
