Treat a stream that ends inside an event as broken off

Cause: the end of the body, by its framing, was taken for the end of the stream, and what was left of an event then was sent on. A body without framing ends with its connection, so each break is such an end.

Now the rest of an event is never sent: the stream is resumed on another engine where the route allows it, or else the caller's connection is closed without the last chunk. Plain responses without framing, complete or reset, were right before.

Events may end with CRLF or CR too; such streams were held back until their end. Only text/event-stream is judged by its events.

--- a/io/lwtgateway/deliver.go
+++ b/io/lwtgateway/deliver.go
@@ -131,18 +131,18 @@
 	buffer := make([]byte, 4<<10)
 	for {
 		n, err := call.response.Read(buffer)
-		searched := max(len(pending)-1, 0)
+		searched := max(len(pending)-maxTerminatorBytes+1, 0)
 		pending = append(pending, buffer[:n]...)
 		complete := errors.Is(err, io.EOF) && call.response.Complete()
 		completeLength := completeEventsLength(pending, searched)
-		if complete {
+		if complete && (len(bytes.TrimSpace(pending[completeLength:])) == 0 || !call.isEventStream()) {
 			completeLength = len(pending)
 		}
 		if completeLength > 0 {
 			if call.attemptEvents == 0 {
 				call.firstEventAt = time.Now()
 			}
-			call.attemptEvents += bytes.Count(pending[:completeLength], eventTerminator)
+			call.attemptEvents += countEvents(pending[:completeLength])
 			if forwarded += completeLength; call.exceedsLimits(forwarded) {
 				return call.deliveryFailure(errResponseTooLong, lastID)
 			}
@@ -153,6 +153,8 @@
 			pending = append(pending[:0], pending[completeLength:]...)
 		}
 		switch {
+		case complete && len(pending) > 0:
+			return call.deliveryFailure(errEndInsideEvent, lastID)
 		case complete:
 			return call.endEventStream()
 		case err != nil:
@@ -163,16 +165,37 @@
 	}
 }
 
-// eventTerminator is the byte sequence that ends each event of a stream.
-var eventTerminator = []byte("\n\n")
+// errEndInsideEvent reports a stream of events that ended inside an event. The server has broken it
+// off, whatever its framing says.
+var errEndInsideEvent = fmt.Errorf("stream ended inside an event")
+
+// isEventStream reports whether the response says that it is a stream of events.
+func (call *call) isEventStream() bool {
+	return bytes.HasPrefix(bytes.ToLower(call.response.Header.ContentType()), []byte("text/event-stream"))
+}
+
+// eventTerminators holds the byte sequences that end an event of a stream, the longest of
+// maxTerminatorBytes.
+var eventTerminators = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n"), []byte("\r\r")}
+
+const maxTerminatorBytes = 4
 
 // completeEventsLength returns the length in bytes of the complete events at the start of
 // pending. The bytes before searched are known to contain no event terminator.
-func completeEventsLength(pending []byte, searched int) int {
-	if at := bytes.LastIndex(pending[searched:], eventTerminator); at >= 0 {
-		return searched + at + len(eventTerminator)
+func completeEventsLength(pending []byte, searched int) (length int) {
+	for _, terminator := range eventTerminators {
+		if at := bytes.LastIndex(pending[searched:], terminator); at >= 0 {
+			length = max(length, searched+at+len(terminator))
+		}
+	}
+	return length
+}
+
+func countEvents(events []byte) (count int) {
+	for _, terminator := range eventTerminators {
+		count += bytes.Count(events, terminator)
 	}
-	return 0
+	return count
 }
 
 // exceedsLimits reports whether a stream exceeds the byte limit or has more events than the
