Log when the store comes back from an older copy

No line told a store that was restored from one that had been away, and changes of servers that were dropped as older left no trace. The header that counts the restores was not decoded.

platform.Store returns the era with each position in the store's history, the follower of a table logs store-restored when it changes, and a dropped change of a server is logged. No logic is changed.

--- a/io/lwtgateway/store.go
+++ b/io/lwtgateway/store.go
@@ -14,9 +14,11 @@
 
 // TableStore is the platform's table store. See platform.Store for its methods.
 type TableStore interface {
-	Rows(table string, timeout time.Duration) (rows []platform.Row, version int64, err error)
+	Rows(table string, timeout time.Duration) (rows []platform.Row, position platform.Position, err error)
 	Row(table, key string, timeout time.Duration) (platform.Row, error)
-	Changes(table string, after int64, wait, timeout time.Duration) (rows []platform.Row, version int64, err error)
+	Changes(
+		table string, after int64, wait, timeout time.Duration,
+	) (rows []platform.Row, position platform.Position, err error)
 	CompareAndSwap(row platform.Row, timeout time.Duration) (current platform.Row, applied bool, err error)
 	Set(row platform.Row, timeout time.Duration) error
 	Remove(row platform.Row, timeout time.Duration) error
@@ -59,6 +61,8 @@
 	// version is the table version up to which changes were read. If it is 0, the next read
 	// fetches the whole table.
 	version int64
+	// era is the era of the store in which version was read.
+	era     int64
 	failing bool
 	// applySnapshot applies all rows of the table, applyChanges the changed rows.
 	applySnapshot func(now time.Time, rows []platform.Row)
@@ -126,11 +130,12 @@
 // fetch reads the table or its changes. It returns a function that applies them.
 func (tableFollower *tableFollower) fetch() (apply func(now time.Time), err error) {
 	if tableFollower.version == 0 || tableFollower.snapshotRequested.Swap(false) {
-		rows, version, err := tableFollower.gateway.store.Rows(tableFollower.table, StoreTimeout)
+		rows, position, err := tableFollower.gateway.store.Rows(tableFollower.table, StoreTimeout)
 		if err != nil {
 			return nil, err
 		}
-		tableFollower.version = version
+		tableFollower.logRestored(position)
+		tableFollower.version, tableFollower.era = position.Version, position.Era
 		return func(now time.Time) { tableFollower.applySnapshot(now, rows) }, nil
 	}
 	pollTimeout := tableFollower.pollTimeout
@@ -138,12 +143,13 @@
 		// A long poll would delay detecting that the store has recovered.
 		pollTimeout = 0
 	}
-	rows, version, err := tableFollower.gateway.store.Changes(tableFollower.table, tableFollower.version, pollTimeout,
+	rows, position, err := tableFollower.gateway.store.Changes(tableFollower.table, tableFollower.version, pollTimeout,
 		StoreTimeout)
 	if err != nil {
 		return nil, err
 	}
-	tableFollower.version = max(version, tableFollower.version)
+	tableFollower.logRestored(position)
+	tableFollower.version, tableFollower.era = max(position.Version, tableFollower.version), position.Era
 	return func(now time.Time) {
 		if len(rows) > 0 {
 			tableFollower.applyChanges(now, rows)
@@ -151,6 +157,15 @@
 	}, nil
 }
 
+// logRestored logs that the store has come back from an older copy since the last response.
+func (tableFollower *tableFollower) logRestored(position platform.Position) {
+	if tableFollower.reachable.Load() == nil || position.Era == tableFollower.era {
+		return
+	}
+	lwtlog.Warn(tableFollower.gateway.logger, "store-restored", "table", tableFollower.table, "era", position.Era,
+		"before", tableFollower.era, "version", position.Version, "version-before", tableFollower.version)
+}
+
 // run polls the table until ctx is canceled, with a delay of interval between two calls.
 func (tableFollower *tableFollower) run(ctx context.Context, interval func() time.Duration) error {
 	for ctx.Err() == nil {
@@ -313,7 +328,12 @@
 		for _, change := range changes {
 			// The confirmation of a removal may arrive after the removal.
 			version := gateway.serverRowVersions[change.Key]
-			if change.Version < version || change.Version == version && !change.removalConfirmed {
+			if change.Version < version {
+				lwtlog.Info(gateway.logger, "server-change-ignored", "server", change.Key, "row-version", change.Version,
+					"known", version, "deleted", change.Deleted, "source", source)
+				continue
+			}
+			if change.Version == version && !change.removalConfirmed {
 				continue
 			}
 			gateway.serverRowVersions[change.Key] = change.Version
--- a/io/lwtplatform/client.go
+++ b/io/lwtplatform/client.go
@@ -208,28 +208,33 @@
 }
 
 func (client *Client) call(method, path string, body []byte, into any) error {
-	status, response, err := client.Call(method, path, body, client.timeout)
+	response, err := client.Call(method, path, body, client.timeout)
 	if err != nil {
 		return err
 	}
-	return decode(status, response, into)
+	return decode(response.Status, response.Body, into)
 }
 
-// Call makes one call and returns the status and the body of the response, whatever the
-// status. It returns ErrUnavailable if there is no response.
-func (client *Client) Call(
-	method, path string, body []byte, timeout time.Duration,
-) (status int, response []byte, err error) {
-	var call admission
-	if call, err = client.admit(); err != nil {
-		return 0, nil, err
+// Response is the response to a call, whatever its status.
+type Response struct {
+	Status int
+	Body   []byte
+	// Header returns the value of a header, or "".
+	Header func(name string) string
+}
+
+// Call makes one call and returns its response. It returns ErrUnavailable if there is none.
+func (client *Client) Call(method, path string, body []byte, timeout time.Duration) (Response, error) {
+	call, err := client.admit()
+	if err != nil {
+		return Response{}, err
 	}
-	status, response, err = client.send(method, path, body, timeout)
+	response, err := client.send(method, path, body, timeout)
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
 	client.limiter = client.limiter.recordResult(time.Now(), call,
-		err == nil && status < fasthttp.StatusInternalServerError, rand.Float64())
-	return status, response, err
+		err == nil && response.Status < fasthttp.StatusInternalServerError, rand.Float64())
+	return response, err
 }
 
 func (client *Client) admit() (admission, error) {
@@ -246,7 +251,7 @@
 	return call, nil
 }
 
-func (client *Client) send(method, path string, body []byte, timeout time.Duration) (int, []byte, error) {
+func (client *Client) send(method, path string, body []byte, timeout time.Duration) (Response, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -254,10 +259,15 @@
 	request.SetRequestURI("http://" + client.address + path)
 	request.SetBodyRaw(body)
 	if err := client.http.DoTimeout(request, response, timeout); err != nil {
-		return 0, nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return Response{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	// Clone the body because releasing the response returns its buffer to a pool.
-	return response.StatusCode(), bytes.Clone(response.Body()), nil
+	// Copies, because releasing the response returns its buffers to a pool.
+	header := &fasthttp.ResponseHeader{}
+	response.Header.CopyTo(header)
+	return Response{
+		Status: response.StatusCode(), Body: bytes.Clone(response.Body()),
+		Header: func(name string) string { return string(header.Peek(name)) },
+	}, nil
 }
 
 func decode(status int, response []byte, into any) error {
