Read a table again when the store has come back from an older copy

Cause: a daemon reads changes after a version. A store that comes back from a copy gives out versions again; once it has passed the daemon's version, it answers without 410, with what has a higher version only. What it took in between the copy and that version was missed for good. Class: a number is taken for a place in a history without the history that it counts in.

Ruled out: an older configuration taken from the copy (no configuration-read with an older version).

A response from another era than the one in which the version was read is dropped, and the table is read whole, at once instead of in the next round.

--- a/io/lwtgateway/store.go
+++ b/io/lwtgateway/store.go
@@ -101,13 +101,14 @@
 func (tableFollower *tableFollower) poll() bool {
 	sentAt := time.Now()
 	apply, err := tableFollower.fetch()
-	switch {
-	case errors.Is(err, platform.ErrHistoryLost):
+	if errors.Is(err, platform.ErrHistoryLost) {
 		lwtlog.Info(tableFollower.gateway.logger, "store-history-lost", "table", tableFollower.table,
 			"version", tableFollower.version)
 		tableFollower.version = 0
-		return true
-	case err != nil:
+		sentAt = time.Now()
+		apply, err = tableFollower.fetch()
+	}
+	if err != nil {
 		if !tableFollower.failing {
 			lwtlog.Warn(tableFollower.gateway.logger, "store-lost", "table", tableFollower.table,
 				"version", tableFollower.version, "err", err)
@@ -148,8 +149,11 @@
 	if err != nil {
 		return nil, err
 	}
-	tableFollower.logRestored(position)
-	tableFollower.version, tableFollower.era = max(position.Version, tableFollower.version), position.Era
+	if position.Era != tableFollower.era {
+		// The store may have given out the version again for other changes.
+		return nil, platform.ErrHistoryLost
+	}
+	tableFollower.version = max(position.Version, tableFollower.version)
 	return func(now time.Time) {
 		if len(rows) > 0 {
 			tableFollower.applyChanges(now, rows)
