Order changes of servers by the store's era first

Cause: a daemon remembers the highest row version of each server and ignores lower ones, which may be delayed. After a restore all versions are lower, so that every change was dropped until versions had caught up, in tens of seconds. server-change-ignored showed it: row-version=71 known=82.

Positions are now compared by era, then by version, and messages between daemons carry the era.

--- a/io/lwtgateway/gateway.go
+++ b/io/lwtgateway/gateway.go
@@ -20,6 +20,7 @@
 	"lacewingtide/io/lwthttp"
 	"lacewingtide/io/lwtlog"
 	"lacewingtide/io/lwtmetric"
+	"lacewingtide/platform"
 )
 
 // Gateway is an entry daemon: it accepts callers' requests and forwards them to backend
@@ -46,11 +47,11 @@
 	crashDetector  *crashDetector
 	quarantineRows *quarantineRows
 
-	// serverRowVersions holds the newest row version seen for each server, by row key.
-	// It is guarded by the mutex of view.
-	serverRowVersions map[string]int64
-	serversFollower   atomic.Pointer[tableFollower]
-	configFollower    atomic.Pointer[tableFollower]
+	// serverRows holds the position of the newest row seen for each server, by row key. It is
+	// guarded by the mutex of view.
+	serverRows      map[string]platform.Position
+	serversFollower atomic.Pointer[tableFollower]
+	configFollower  atomic.Pointer[tableFollower]
 	// lastStoreContact is when the store last responded to any daemon, in nanoseconds
 	// since the Unix epoch.
 	lastStoreContact atomic.Int64
@@ -85,7 +86,7 @@
 	gateway := &Gateway{
 		settings: settings, logger: logger, protocol: protocol, store: store, exportedMetrics: exportedMetrics,
 		metrics: newMetrics(exportedMetrics.Scope()), timeouts: newTimeoutTracker(), workers: workers, boot: rand.Uint64(),
-		serverRowVersions: map[string]int64{},
+		serverRows: map[string]platform.Position{},
 		view: newView(
 			settings.Name, lwtqueueplacement.Options{
 				AvailabilityZone: settings.AvailabilityZone, PrefillTimePerToken: initialPrefillTimePerToken,
--- a/io/lwtgateway/server_updates.go
+++ b/io/lwtgateway/server_updates.go
@@ -44,6 +44,7 @@
 	Version          int64  `cbor:"3,keyasint"`
 	Deleted          bool   `cbor:"4,keyasint,omitempty"`
 	RemovalConfirmed bool   `cbor:"5,keyasint,omitempty"`
+	Era              int64  `cbor:"6,keyasint,omitempty"`
 }
 
 // announceChanges sends changed entries to the other daemons, so that they don't need to
@@ -75,7 +76,7 @@
 	for _, change := range changes {
 		message.Rows = append(message.Rows, serverRow{
 			Key: change.Key, Value: change.Value, Version: change.Version, Deleted: change.Deleted,
-			RemovalConfirmed: change.removalConfirmed,
+			RemovalConfirmed: change.removalConfirmed, Era: change.Era,
 		})
 	}
 	return message
@@ -106,7 +107,9 @@
 	changes := make([]serverChange, 0, len(message.Rows))
 	for _, row := range message.Rows {
 		changes = append(changes, serverChange{
-			Row:              platform.Row{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted},
+			Row: platform.Row{
+				Key: row.Key, Value: row.Value, Version: row.Version, Era: row.Era, Deleted: row.Deleted,
+			},
 			removalConfirmed: row.RemovalConfirmed,
 		})
 	}
--- a/io/lwtgateway/store.go
+++ b/io/lwtgateway/store.go
@@ -308,7 +308,9 @@
 	}
 	gateway.view.updateServers(func(serverSet lwtdiscovery.ServerSet) lwtdiscovery.ServerSet {
 		for _, row := range rows {
-			gateway.serverRowVersions[row.Key] = max(row.Version, gateway.serverRowVersions[row.Key])
+			if gateway.serverRows[row.Key].Before(row.Position()) {
+				gateway.serverRows[row.Key] = row.Position()
+			}
 		}
 		gateway.logServerChanges(serverSet, servers, "read")
 		return serverSet.WithSnapshot(now, servers)
@@ -331,16 +333,16 @@
 	gateway.view.updateServers(func(serverSet lwtdiscovery.ServerSet) lwtdiscovery.ServerSet {
 		for _, change := range changes {
 			// The confirmation of a removal may arrive after the removal.
-			version := gateway.serverRowVersions[change.Key]
-			if change.Version < version {
+			known := gateway.serverRows[change.Key]
+			if change.Position().Before(known) {
 				lwtlog.Info(gateway.logger, "server-change-ignored", "server", change.Key, "row-version", change.Version,
-					"known", version, "deleted", change.Deleted, "source", source)
+					"era", change.Era, "known", known.Version, "known-era", known.Era, "deleted", change.Deleted, "source", source)
 				continue
 			}
-			if change.Version == version && !change.removalConfirmed {
+			if change.Position() == known && !change.removalConfirmed {
 				continue
 			}
-			gateway.serverRowVersions[change.Key] = change.Version
+			gateway.serverRows[change.Key] = change.Position()
 			var changed bool
 			if serverSet, changed = gateway.applyServerChange(now, serverSet, change, source); changed {
 				_, remains := serverSet.Server(change.Key)
