Ignore the entries of gone servers that an older copy brings back

Cause: a read of all rows after a restore was believed as it stands; the entry of a server that was removed after the copy is in it again until the store lets it lapse.

A daemon remembers the newest entry of each server that it has seen. An entry in a read of another era, of a server that it no longer lists and that is not newer, is left out; if it is still there 5 s later, when the store would have removed a silent one, it counts. A daemon that starts after the restore cannot know and believes the copy, until the entry lapses.

--- a/io/lwtgateway/gateway.go
+++ b/io/lwtgateway/gateway.go
@@ -20,7 +20,6 @@
 	"lacewingtide/io/lwthttp"
 	"lacewingtide/io/lwtlog"
 	"lacewingtide/io/lwtmetric"
-	"lacewingtide/platform"
 )
 
 // Gateway is an entry daemon: it accepts callers' requests and forwards them to backend
@@ -47,9 +46,12 @@
 	crashDetector  *crashDetector
 	quarantineRows *quarantineRows
 
-	// serverRows holds the position of the newest row seen for each server, by row key. It is
-	// guarded by the mutex of view.
-	serverRows      map[string]platform.Position
+	// serverRows holds the newest row seen of each server, by row key. It is guarded by the mutex
+	// of view.
+	serverRows map[string]serverRowState
+	// readReturnedAt is when all servers are read again because of entries that came back with an
+	// older copy of the store, or zero. It is guarded by the mutex of view.
+	readReturnedAt  time.Time
 	serversFollower atomic.Pointer[tableFollower]
 	configFollower  atomic.Pointer[tableFollower]
 	// lastStoreContact is when the store last responded to any daemon, in nanoseconds
@@ -86,7 +88,7 @@
 	gateway := &Gateway{
 		settings: settings, logger: logger, protocol: protocol, store: store, exportedMetrics: exportedMetrics,
 		metrics: newMetrics(exportedMetrics.Scope()), timeouts: newTimeoutTracker(), workers: workers, boot: rand.Uint64(),
-		serverRows: map[string]platform.Position{},
+		serverRows: map[string]serverRowState{},
 		view: newView(
 			settings.Name, lwtqueueplacement.Options{
 				AvailabilityZone: settings.AvailabilityZone, PrefillTimePerToken: initialPrefillTimePerToken,
--- a/io/lwtgateway/store.go
+++ b/io/lwtgateway/store.go
@@ -288,6 +288,7 @@
 	if left, expired := gateway.view.expireServers(now); expired {
 		lwtlog.Info(gateway.logger, "servers-expired", "left", left)
 	}
+	gateway.readReturnedServers(now)
 }
 
 func (gateway *Gateway) decodeServer(row platform.Row) (lwtdiscovery.Server, bool) {
@@ -300,17 +301,17 @@
 }
 
 func (gateway *Gateway) applyServerSnapshot(now time.Time, rows []platform.Row) {
-	var servers []lwtdiscovery.Server
-	for _, row := range rows {
-		if server, ok := gateway.decodeServer(row); ok {
-			servers = append(servers, server)
-		}
-	}
 	gateway.view.updateServers(func(serverSet lwtdiscovery.ServerSet) lwtdiscovery.ServerSet {
+		var servers []lwtdiscovery.Server
 		for _, row := range rows {
-			if gateway.serverRows[row.Key].Before(row.Position()) {
-				gateway.serverRows[row.Key] = row.Position()
+			server, ok := gateway.decodeServer(row)
+			if !ok || gateway.returnedWithCopy(now, serverSet, row, server) {
+				continue
+			}
+			if known := gateway.serverRows[row.Key]; known.position.Before(row.Position()) {
+				gateway.serverRows[row.Key] = known.withRow(row).withEntry(server)
 			}
+			servers = append(servers, server)
 		}
 		gateway.logServerChanges(serverSet, servers, "read")
 		return serverSet.WithSnapshot(now, servers)
@@ -333,7 +334,8 @@
 	gateway.view.updateServers(func(serverSet lwtdiscovery.ServerSet) lwtdiscovery.ServerSet {
 		for _, change := range changes {
 			// The confirmation of a removal may arrive after the removal.
-			known := gateway.serverRows[change.Key]
+			state := gateway.serverRows[change.Key]
+			known := state.position
 			if change.Position().Before(known) {
 				lwtlog.Info(gateway.logger, "server-change-ignored", "server", change.Key, "row-version", change.Version,
 					"era", change.Era, "known", known.Version, "known-era", known.Era, "deleted", change.Deleted, "source", source)
@@ -342,7 +344,7 @@
 			if change.Position() == known && !change.removalConfirmed {
 				continue
 			}
-			gateway.serverRows[change.Key] = change.Position()
+			gateway.serverRows[change.Key] = state.withRow(change.Row)
 			var changed bool
 			if serverSet, changed = gateway.applyServerChange(now, serverSet, change, source); changed {
 				_, remains := serverSet.Server(change.Key)
@@ -368,6 +370,7 @@
 	}
 	changed := !found || !current.SameIncarnation(server) || current.Draining != server.Draining ||
 		current.Stage != server.Stage
+	gateway.serverRows[change.Key] = gateway.serverRows[change.Key].withEntry(server)
 	gateway.logServerChanges(serverSet, []lwtdiscovery.Server{server}, source)
 	return serverSet.WithEntry(server), changed
 }
