--- a/io/lwtgateway/store.go
+++ b/io/lwtgateway/store.go
@@ -301,6 +301,7 @@
 }
 
 func (gateway *Gateway) applyServerSnapshot(now time.Time, rows []platform.Row) {
+	var returned []serverChange
 	gateway.view.updateServers(func(serverSet lwtdiscovery.ServerSet) lwtdiscovery.ServerSet {
 		var servers []lwtdiscovery.Server
 		for _, row := range rows {
@@ -308,7 +309,11 @@
 			if !ok || gateway.returnedWithCopy(now, serverSet, row, server) {
 				continue
 			}
-			if known := gateway.serverRows[row.Key]; known.position.Before(row.Position()) {
+			known := gateway.serverRows[row.Key]
+			if !known.returnedAt.IsZero() {
+				returned = append(returned, serverChange{Row: row})
+			}
+			if known.position.Before(row.Position()) {
 				gateway.serverRows[row.Key] = known.withRow(row).withEntry(server)
 			}
 			servers = append(servers, server)
@@ -316,6 +321,7 @@
 		gateway.logServerChanges(serverSet, servers, "read")
 		return serverSet.WithSnapshot(now, servers)
 	})
+	gateway.announceChanges(returned)
 }
 
 func (gateway *Gateway) applyServerRows(now time.Time, rows []platform.Row) {
