Keep servers whose entries a restored store has lost

Cause: a restore that is so short that no call fails was not taken for an outage, so entries that were missing from the next read counted as removed. A new era is an outage now: entries that are missing are kept for the same 2.5 s, and the period in which the daemon reached the store ends, so that it does not prove to others that the entries were removed.

--- a/io/lwtgateway/store.go
+++ b/io/lwtgateway/store.go
@@ -74,7 +74,8 @@
 	// reachable is the latest period in which the store has responded without a gap. Other
 	// goroutines read it.
 	reachable atomic.Pointer[lwtdiscovery.ReachablePeriod]
-	// onRecovered is called when the store responds again after a failure.
+	// onRecovered is called when the store responds again after a failure, or has come back from
+	// an older copy.
 	onRecovered func(outage lwtdiscovery.Outage)
 }
 
@@ -83,12 +84,15 @@
 const maxReachableGap = 2300 * time.Millisecond
 
 // recordResponse extends the period of reachability, or starts a new one, after a call that
-// was sent at sentAt succeeded. It returns the period before.
-func (tableFollower *tableFollower) recordResponse(sentAt time.Time) (previous lwtdiscovery.ReachablePeriod) {
+// was sent at sentAt succeeded. Restored says that the store has come back from an older copy
+// since the call before. It returns the period before.
+func (tableFollower *tableFollower) recordResponse(
+	sentAt time.Time, restored bool,
+) (previous lwtdiscovery.ReachablePeriod) {
 	reachable := lwtdiscovery.ReachablePeriod{Since: sentAt, Until: sentAt}
 	if stored := tableFollower.reachable.Load(); stored != nil {
 		previous = *stored
-		if !tableFollower.failing && sentAt.Sub(previous.Until) <= maxReachableGap {
+		if !restored && !tableFollower.failing && sentAt.Sub(previous.Until) <= maxReachableGap {
 			reachable.Since = previous.Since
 		}
 	}
@@ -99,7 +103,7 @@
 // poll makes one call to the store and applies the result. It reports whether the store
 // responded.
 func (tableFollower *tableFollower) poll() bool {
-	sentAt := time.Now()
+	sentAt, era := time.Now(), tableFollower.era
 	apply, err := tableFollower.fetch()
 	if errors.Is(err, platform.ErrHistoryLost) {
 		lwtlog.Info(tableFollower.gateway.logger, "store-history-lost", "table", tableFollower.table,
@@ -116,10 +120,12 @@
 		tableFollower.failing = true
 		return false
 	}
-	previous := tableFollower.recordResponse(sentAt)
-	if tableFollower.failing {
+	restored := tableFollower.era != era
+	previous := tableFollower.recordResponse(sentAt, restored)
+	if tableFollower.failing || restored && !previous.Until.IsZero() {
 		tableFollower.failing = false
-		// Changes in the first response may be a consequence of the outage.
+		// Changes in the first response may be a consequence of the outage, and entries may be
+		// missing because they were written after the copy.
 		tableFollower.onRecovered(lwtdiscovery.Outage{Start: previous.Until, End: time.Now()})
 		lwtlog.Info(tableFollower.gateway.logger, "store-regained", "table", tableFollower.table,
 			"version", tableFollower.version)
