Keep one lease holder and rising fencing numbers in a restored store

Cause: the lease row of the copy was taken for the present. It may name an earlier holder, which went on at once with its number plus one, or none, so that another daemon took the lease although its holder, which the store no longer knows, still held it. And a commit that was made before the restore passes when the row has the expected version again.

A row that was written in an earlier era, or is missing from a store that has come back, is taken over only after a whole lease time; the daemon whose lease is still valid writes it again; nobody releases it. Each era has its own 2^32 fencing numbers. Each commit marks the eras before its own as ended and requires that its own is not, in the same transaction, so that no commit of an earlier era passes after one of a later.

--- a/core/lwtlease/lease.go
+++ b/core/lwtlease/lease.go
@@ -33,6 +33,10 @@
 	// response, before jitter.
 	firstBackoff = 500 * time.Millisecond
 	maxBackoff   = 4 * time.Second
+	// fencingPerEra is the number of fencing numbers of each era of the store.
+	fencingPerEra = 1 << 32
+	// maxEndedEras bounds the eras that a commit marks as ended.
+	maxEndedEras = 8
 	// clockDriftDivisor sets the assumed maximum clock drift: the rates of two
 	// clocks differ by at most 1/clockDriftDivisor.
 	clockDriftDivisor = 100
--- a/core/lwtlease/message.go
+++ b/core/lwtlease/message.go
@@ -6,6 +6,11 @@
 type Row struct {
 	// Version is the row's version in the table, or 0 if there is no row.
 	Version int64 `json:"-"`
+	// StoreEra is the era of the store in which the row was read: it rises by one each
+	// time the store comes back from an older copy. Era is the one in which the row was
+	// written, as far as its writer knew. Both are 0 for a store that never does.
+	StoreEra int64 `json:"-"`
+	Era      int64 `json:"era,omitempty"`
 	// Holder identifies one process of one daemon. It is empty after a release.
 	Holder  string `json:"holder"`
 	Fencing int64  `json:"fencing"`
@@ -74,8 +79,10 @@
 	RequestID int64
 }
 
-// Commit writes the row if it still has the version. The result must be sent as
-// CommitResult.
+// Commit writes the row if it still has the version and no other commit has marked the era
+// Row.Era as ended, and marks EndedEras as ended, all in one transaction. The result must be
+// sent as CommitResult. Without the marks, a version that the store gives out again after a
+// restore would let a commit of an earlier era through.
 type Commit struct {
 	Group     string
 	RequestID int64
@@ -83,6 +90,15 @@
 	Row       Row
 }
 
+// EndedEras returns the latest eras before that of the commit. Older ones have no daemons.
+func (commit Commit) EndedEras() []int64 {
+	var eras []int64
+	for era := max(commit.Row.Era-maxEndedEras, firstEra); era < commit.Row.Era; era++ {
+		eras = append(eras, era)
+	}
+	return eras
+}
+
 // LogLeaseChange logs a change of the lease.
 type LogLeaseChange struct {
 	Group   string
--- a/core/lwtlease/model.go
+++ b/core/lwtlease/model.go
@@ -125,7 +125,10 @@
 		return model, nil
 	case model.unknownCommit.id != 0:
 		return model.readRow(now)
-	case model.row.Holder == model.self:
+	case model.row.restored() && model.lease.Valid(now) && !model.releasing:
+		// The holder in the older copy, whoever it is, cannot have the lease now.
+		return model.commitRow(now, model.self, model.nextFencing())
+	case model.row.Holder == model.self && !model.row.restored():
 		return model.sendHolderRequest(now)
 	case model.releasing || model.rank >= MaxCandidates:
 		return model, nil
@@ -153,13 +156,22 @@
 	return model.commitRow(now, model.self, model.row.Fencing)
 }
 
-func (model Model) nextFencing() int64 { return max(model.row.Fencing, model.fencingFloor) + 1 }
+// nextFencing returns a fencing number above all that were ever used. After a restore, the row may
+// not have the last of them, so each era has numbers of its own.
+func (model Model) nextFencing() int64 {
+	eraFloor := max(model.row.StoreEra-firstEra, 0) * fencingPerEra
+	return max(model.row.Fencing, model.fencingFloor, eraFloor) + 1
+}
 
 // canTakeOver reports whether this daemon has seen the row unchanged for long enough
 // to take over the lease.
 func (model Model) canTakeOver(now time.Time) bool {
 	wait := time.Duration(model.rank) * RankDelay
-	if model.row.Holder != "" {
+	switch {
+	case model.row.restored():
+		// Another daemon may have been granted the lease after the copy.
+		wait += AddClockDrift(max(model.row.TTL.Std(), TTL))
+	case model.row.Holder != "":
 		wait += AddClockDrift(model.row.TTL.Std())
 	}
 	return now.Sub(model.rowSeenAt) >= wait
@@ -183,6 +195,7 @@
 	model.lastWriteSequence++
 	row := Row{
 		Holder: holder, Fencing: fencing, TTL: lwtdeclaredstate.Duration(TTL), WriteSequence: model.lastWriteSequence,
+		Era: model.row.StoreEra,
 	}
 	model.pending = request{id: model.lastRequestID, sent: now, isCommit: true, row: row}
 	if holder != model.self {
--- a/core/lwtlease/result.go
+++ b/core/lwtlease/result.go
@@ -49,7 +49,7 @@
 func (model Model) applyRow(now time.Time, row Row) (Model, []Cmd) {
 	commit := model.unknownCommit
 	model.unknownCommit = request{}
-	if !model.rowKnown || row.Version != model.row.Version {
+	if !model.rowKnown || row.Version != model.row.Version || row.StoreEra != model.row.StoreEra {
 		model.rowSeenAt = now
 	}
 	holderChanged := !model.rowKnown || row.Holder != model.row.Holder
@@ -58,13 +58,16 @@
 		model.rank = model.currentRank()
 	}
 	isHolder := row.Holder == model.self
-	if isHolder && commit.isCommit && row.WriteSequence == commit.row.WriteSequence && row.Fencing == commit.row.Fencing {
+	// A write whose condition held in the restored store too was made without knowing of what the
+	// store has lost.
+	if isHolder && commit.isCommit && !row.restored() && row.WriteSequence == commit.row.WriteSequence &&
+		row.Fencing == commit.row.Fencing {
 		return model.withLease(now, commit.sent)
 	}
 	if commit.isCommit && commit.row.Holder == "" && row.Holder == "" {
 		return model, []Cmd{LogLeaseChange{model.group, EventReleased, row.Fencing}}
 	}
-	if model.lease.Fencing > 0 && (!isHolder || row.Fencing != model.lease.Fencing) {
+	if model.lease.Fencing > 0 && !row.restored() && (!isHolder || row.Fencing != model.lease.Fencing) {
 		fencing := model.lease.Fencing
 		model.lease = Lease{}
 		return model, []Cmd{LogLeaseChange{model.group, EventLost, fencing}}
--- a/core/lwtlease/row.go
+++ b/core/lwtlease/row.go
@@ -5,6 +5,18 @@
 	"fmt"
 )
 
+// firstEra is the era of a store that has never come back from an older copy.
+const firstEra = 1
+
+// restored reports whether the row may have come back with an older copy of the store: it was
+// written in an earlier era, or is missing from a store that has come back.
+func (row Row) restored() bool {
+	if row.Version == 0 {
+		return row.StoreEra > firstEra
+	}
+	return row.StoreEra > row.Era
+}
+
 // Encode returns the value of the table row.
 func (row Row) Encode() ([]byte, error) {
 	value, err := json.Marshal(row)
--- a/io/lwtgateway/orders.go
+++ b/io/lwtgateway/orders.go
@@ -18,6 +18,9 @@
 
 const (
 	leaseTable = "leases"
+	// endedEraTable has a row for each era of the store that a commit of a lease has marked as
+	// ended.
+	endedEraTable = "ended-eras"
 	// orderGroup is the group whose lease allows one daemon to send orders to all engines.
 	orderGroup = "engines"
 	// minLeaseRemaining is the minimum remaining time of the lease for an order to be sent.
@@ -80,7 +83,7 @@
 	row, err := orderSender.gateway.store.Row(leaseTable, cmd.Group, StoreTimeout)
 	result := lwtlease.RowRead{RequestID: cmd.RequestID}
 	if err == nil {
-		result.Row, err = lwtlease.DecodeRow(row.Value, row.Version)
+		result.Row, err = decodeLeaseRow(row)
 	}
 	if err != nil {
 		lwtlog.Info(orderSender.gateway.logger, "lease-read-failed", "group", cmd.Group, "err", err)
@@ -104,15 +107,38 @@
 		return err
 	}
 	row := platform.Row{Table: leaseTable, Key: cmd.Group, Value: value, Version: cmd.Version}
-	current, applied, err := orderSender.gateway.store.CompareAndSwap(row, StoreTimeout)
+	transaction := platform.Transaction{
+		Expected: []platform.Row{row, endedEraRow(cmd.Row.Era)}, Put: []platform.Row{row},
+	}
+	for _, era := range cmd.EndedEras() {
+		transaction.Put = append(transaction.Put, endedEraRow(era))
+	}
+	committed, err := orderSender.gateway.store.Commit(transaction, StoreTimeout)
 	if err != nil {
 		return err
 	}
-	result.Conflict = !applied
-	result.Row, err = lwtlease.DecodeRow(current.Value, current.Version)
+	result.Conflict = !committed.Applied
+	if result.Conflict {
+		row = committed.Row(leaseTable, cmd.Group)
+	} else {
+		row.Version, row.Era = committed.Position.Version, committed.Position.Era
+	}
+	result.Row, err = decodeLeaseRow(row)
 	return err
 }
 
+// endedEraRow returns the row that marks an era of the store as ended.
+func endedEraRow(era int64) platform.Row {
+	key := strconv.FormatInt(era, 10)
+	return platform.Row{Table: endedEraTable, Key: key, Value: []byte(key)}
+}
+
+func decodeLeaseRow(row platform.Row) (lwtlease.Row, error) {
+	decoded, err := lwtlease.DecodeRow(row.Value, row.Version)
+	decoded.StoreEra = row.Era
+	return decoded, err
+}
+
 // sendDueOrders plans the stages of all engines and sends the orders that are due.
 func (orderSender *orderSender) sendDueOrders(ctx context.Context, now time.Time) {
 	lease := orderSender.loop.Model().Lease()
--- a/io/lwtgateway/store.go
+++ b/io/lwtgateway/store.go
@@ -20,6 +20,7 @@
 		table string, after int64, wait, timeout time.Duration,
 	) (rows []platform.Row, position platform.Position, err error)
 	CompareAndSwap(row platform.Row, timeout time.Duration) (current platform.Row, applied bool, err error)
+	Commit(transaction platform.Transaction, timeout time.Duration) (platform.CommitResult, error)
 	Set(row platform.Row, timeout time.Duration) error
 	Remove(row platform.Row, timeout time.Duration) error
 	// SetDaemonCount sets the number of daemons that share the store's capacity.
