Agree on one key between daemons after a restore of the store

Cause: the key was read once, at the start, and taken to be there for good.

A daemon that learns of a new era, from a response of the store or from another daemon's state, reads the key again. It writes its own if there is none, and otherwise uses the stored one for new connections; open ones stay.

--- a/io/lwtgateway/exchange.go
+++ b/io/lwtgateway/exchange.go
@@ -279,6 +279,7 @@
 	}
 	network := gateway.openNetwork(key)
 	defer network.Close()
+	go gateway.keepPeerKey(ctx, network, key)
 	go func() {
 		// Serve returns when the network closes the listener.
 		if err := network.Serve(listener); err != nil {
--- a/io/lwtgateway/gateway.go
+++ b/io/lwtgateway/gateway.go
@@ -57,6 +57,10 @@
 	// lastStoreContact is when the store last responded to any daemon, in nanoseconds
 	// since the Unix epoch.
 	lastStoreContact atomic.Int64
+	// storeEra is the highest known era of the store, 0 before the first response. eraChanged has an
+	// element if it has risen after that.
+	storeEra   atomic.Int64
+	eraChanged chan struct{}
 	// serversDifferSince is when this daemon's server list began to differ from that of its
 	// relay, in nanoseconds since the Unix epoch, or 0 if the lists are equal.
 	serversDifferSince atomic.Int64
@@ -88,7 +92,7 @@
 	gateway := &Gateway{
 		settings: settings, logger: logger, protocol: protocol, store: store, exportedMetrics: exportedMetrics,
 		metrics: newMetrics(exportedMetrics.Scope()), timeouts: newTimeoutTracker(), workers: workers, boot: rand.Uint64(),
-		serverRows: map[string]serverRowState{},
+		serverRows: map[string]serverRowState{}, eraChanged: make(chan struct{}, 1),
 		view: newView(
 			settings.Name, lwtqueueplacement.Options{
 				AvailabilityZone: settings.AvailabilityZone, PrefillTimePerToken: initialPrefillTimePerToken,
--- a/io/lwtgateway/states.go
+++ b/io/lwtgateway/states.go
@@ -89,6 +89,8 @@
 	AvailabilityZone string `cbor:"13,keyasint,omitempty"`
 	// QuarantineDigest is a digest of the quarantined segments.
 	QuarantineDigest uint64 `cbor:"14,keyasint,omitempty"`
+	// StoreEra is the highest era of the store that the daemon knows of.
+	StoreEra int64 `cbor:"15,keyasint,omitempty"`
 }
 
 // withReachablePeriod returns the state with the period in which the daemon reached the
@@ -260,7 +262,7 @@
 		Name: gateway.settings.Name, Boot: gateway.boot, Ready: gateway.serving(), ConfigVersion: config.Version,
 		ServersDigest: gateway.view.digest(), EntryAddress: gateway.settings.EntryAddress,
 		PeerAddress: gateway.settings.PeerAddress, AvailabilityZone: gateway.settings.AvailabilityZone,
-		QuarantineDigest: gateway.view.quarantineDigest(now),
+		QuarantineDigest: gateway.view.quarantineDigest(now), StoreEra: gateway.storeEra.Load(),
 	}
 	state.HoldsOrderLease, state.EnginesChangingStage = gateway.orderSender.state()
 	if reachable, known := gateway.storeReachablePeriod(now); known {
@@ -286,6 +288,7 @@
 	if reachable, known := state.reachablePeriod(reportedAt); known {
 		gateway.recordReachablePeriod(reachable, state.Name)
 	}
+	gateway.observeEra(state.StoreEra)
 	if state.HoldsOrderLease {
 		gateway.view.setEnginesChangingStage(state.EnginesChangingStage)
 	}
--- a/io/lwtgateway/store.go
+++ b/io/lwtgateway/store.go
@@ -122,6 +122,7 @@
 		return false
 	}
 	restored := tableFollower.era != era
+	tableFollower.gateway.observeEra(tableFollower.era)
 	previous := tableFollower.recordResponse(sentAt, restored)
 	if tableFollower.failing || restored && !previous.Until.IsZero() {
 		tableFollower.failing = false
--- a/io/lwtpeer/accept.go
+++ b/io/lwtpeer/accept.go
@@ -71,7 +71,7 @@
 	if err := socket.NetConn().SetDeadline(time.Now().Add(network.options.DialTimeout)); err != nil {
 		return nil, err
 	}
-	identity, err := handshakeAsAcceptor(socket, network.options.Identity, network.options.Key)
+	identity, err := handshakeAsAcceptor(socket, network.options.Identity, network.currentKey())
 	if err != nil {
 		return nil, err
 	}
--- a/io/lwtpeer/dial.go
+++ b/io/lwtpeer/dial.go
@@ -130,7 +130,7 @@
 	if err := socket.NetConn().SetDeadline(time.Now().Add(network.options.DialTimeout)); err != nil {
 		return nil, errors.Join(err, socket.Close())
 	}
-	identity, err := handshakeAsDialer(socket, network.options.Identity, network.options.Key)
+	identity, err := handshakeAsDialer(socket, network.options.Identity, network.currentKey())
 	if err != nil {
 		return nil, errors.Join(err, socket.Close())
 	}
--- a/io/lwtpeer/network.go
+++ b/io/lwtpeer/network.go
@@ -43,6 +43,7 @@
 	handshakeSlots chan struct{}
 
 	mutex           sync.RWMutex
+	key             []byte
 	directory       Directory
 	handlers        map[string]Handler
 	connections     map[string]*connection
@@ -55,6 +56,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	return &Network{
 		options:         options,
+		key:             options.Key,
 		context:         ctx,
 		stop:            stop,
 		dialSlots:       make(chan struct{}, options.MaxDials),
@@ -67,6 +69,19 @@
 	}
 }
 
+// SetKey sets the key that all daemons share, for connections that are opened from now on.
+func (network *Network) SetKey(key []byte) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	network.key = key
+}
+
+func (network *Network) currentKey() []byte {
+	network.mutex.RLock()
+	defer network.mutex.RUnlock()
+	return network.key
+}
+
 // SetDirectory sets the directory of live members. It must be called before Send.
 func (network *Network) SetDirectory(directory Directory) {
 	network.mutex.Lock()
