Take rows of daemons in an older copy for no sign of life

TestMemberRowsOfAnOlderCopy failed on the code before: after a restore, the row of a daemon that had been silent for 10 s made it live for 4 s, so that callers are sent to it, and the row of an earlier process replaced the current one with its address.

Cause: a row counted as written whenever its version differed from the one known. In another era, a row counts only if its heartbeat is a later one, or is of another process and the known one is not live.

--- a/io/lwtgateway/members.go
+++ b/io/lwtgateway/members.go
@@ -60,7 +60,7 @@
 // knownMember is another daemon, with when its row and its messages were last seen.
 type knownMember struct {
 	member
-	rowVersion int64
+	rowPosition platform.Position
 	// rowChangedAt is when a read first returned the current version of the row.
 	// rowWrittenAfter is when the previous read was made: the row was written after it.
 	rowChangedAt    time.Time
@@ -89,6 +89,15 @@
 	return silent && now.Sub(knownMember.rowChangedAt) < memberRowTTL
 }
 
+// olderInCopy reports whether a row that was read in another era of the store is older than what is
+// known of the daemon, and so came with an older copy.
+func (knownMember knownMember) olderInCopy(now time.Time, member member) bool {
+	if knownMember.Boot != member.Boot {
+		return knownMember.live(now)
+	}
+	return member.HeartbeatSeq <= knownMember.HeartbeatSeq
+}
+
 // members holds this daemon and all others that it has seen. It is safe for concurrent use and
 // implements lwtpeer.Directory.
 type members struct {
@@ -181,11 +190,16 @@
 			continue
 		}
 		previous, found := members.others[member.Name]
-		if member.Name == members.self.Name || found && previous.rowVersion == row.Version {
+		if member.Name == members.self.Name || found && previous.rowPosition == row.Position() {
+			continue
+		}
+		if found && row.Era > previous.rowPosition.Era && previous.olderInCopy(now, member) {
+			previous.rowPosition = row.Position()
+			members.others[member.Name] = previous
 			continue
 		}
 		next := knownMember{
-			member: member, rowVersion: row.Version, rowChangedAt: now, rowWrittenAfter: members.rowsReadAt,
+			member: member, rowPosition: row.Position(), rowChangedAt: now, rowWrittenAfter: members.rowsReadAt,
 			lastContact: previous.lastContact,
 		}
 		if !found || previous.Boot != member.Boot {
--- a/io/lwtgateway/members_test.go
+++ b/io/lwtgateway/members_test.go
@@ -101,3 +101,33 @@
 		}
 	}
 }
+
+// TestMemberRowsOfAnOlderCopy guards against rows of a restored store that count as a sign of life, or replace a daemon by its earlier process.
+func TestMemberRowsOfAnOlderCopy(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	row := func(name string, boot uint64, heartbeat, version, era int64) platform.Row {
+		row := memberRow(t, name, boot, heartbeat)
+		row.Version, row.Era = version, era
+		return row
+	}
+	members := newMembers(Settings{Name: "self"}, 1)
+	members.applyRows(at(0), []platform.Row{row("dead", 7, 5, 50, 1), row("restarted", 8, 1, 51, 1)})
+	members.recordState(at(9), reportedState("restarted", 8), true)
+	members.applyRows(at(10), []platform.Row{row("dead", 7, 3, 30, 2), row("restarted", 7, 20, 31, 2)})
+	if isLive(members, at(10), "dead") {
+		t.Error("a daemon that was silent for 10s is live because of its row in an older copy")
+	}
+	for _, member := range members.live(at(10)) {
+		if member.Name == "restarted" && member.Boot != 8 {
+			t.Errorf("boot %d of the row in an older copy replaces that of the current process", member.Boot)
+		}
+	}
+	members.applyRows(at(12), nil)
+	members.applyRows(at(13), []platform.Row{row("dead", 7, 6, 40, 2), row("restarted", 8, 2, 41, 2)})
+	for _, name := range []string{"dead", "restarted"} {
+		if !isLive(members, at(13), name) {
+			t.Errorf("%s has written its row after the restore and is not live", name)
+		}
+	}
+}
