Write the daemon's row again when the store comes back from a copy

TestDaemonsFindEachOtherAfterRestoredStore failed on the code before: a daemon that starts after a restore which has lost all rows stays alone for 4.0 s (3 s wanted) among 16 daemons, and for 20 s among hundreds, because the others write their rows that seldom. Alone, it hears of no change and no load.

A daemon writes its row within a second when it learns of a new era. TestQuarantineAfterRestoredStore passes on the code before: the repair of the quarantine's rows covers a restore.

--- a/io/lwtgateway/member_rows.go
+++ b/io/lwtgateway/member_rows.go
@@ -13,12 +13,14 @@
 // until ctx is canceled.
 func (gateway *Gateway) followMembers(ctx context.Context) error {
 	var writtenAt, readAt time.Time
+	var writtenEra int64
 	for {
-		now := time.Now()
+		now, era := time.Now(), gateway.storeEra.Load()
 		interval := memberWriteInterval(gateway.members.count(now))
-		if now.Sub(writtenAt) >= interval {
+		// A store that has come back from an older copy may have lost the row.
+		if now.Sub(writtenAt) >= interval || era != writtenEra {
 			gateway.writeMemberRow()
-			writtenAt = now
+			writtenAt, writtenEra = now, era
 		}
 		if now.Sub(readAt) >= gateway.memberReadInterval(now, interval) {
 			gateway.readMemberRows()
