--- a/core/lwtquarantine/crash.go
+++ b/core/lwtquarantine/crash.go
@@ -55,7 +55,7 @@
 	for _, request := range requests {
 		if entry, probed := quarantine.probeOf(request.ID); probed {
 			entry.FirstCrashAt = now
-			quarantined = append(quarantined, quarantine.quarantine(now, entry))
+			quarantined = append(quarantined, quarantine.quarantineSegment(now, entry))
 		}
 	}
 	if !quarantine.apply(now, report, false) || len(quarantined) > 0 {
@@ -167,7 +167,7 @@
 		tieID = xxhash.Sum64String(quarantine.self + "/" + strconv.FormatInt(now.UnixNano(), 10))
 	}
 	for _, key := range worst {
-		quarantined = append(quarantined, quarantine.quarantine(now, Entry{
+		quarantined = append(quarantined, quarantine.quarantineSegment(now, Entry{
 			Key: key, Answered: fewest > 0, TieID: tieID, FirstCrashAt: quarantine.segments.record(key).crashes[0].at,
 		}))
 	}
@@ -175,9 +175,9 @@
 	return quarantined
 }
 
-// quarantine quarantines the segment of an entry, or does so again after a probe has crashed an
-// engine.
-func (quarantine *Quarantine) quarantine(now time.Time, entry Entry) Entry {
+// quarantineSegment quarantines the segment of an entry, or does so again after a probe has crashed
+// an engine.
+func (quarantine *Quarantine) quarantineSegment(now time.Time, entry Entry) Entry {
 	entry.Revision, entry.Lifted, entry.ExpiresAt = 1, false, now.Add(entryTTL)
 	if previous := quarantine.entries[entry.Key]; previous != nil {
 		entry.Revision = previous.Revision + 1
--- a/core/lwtquarantine/quarantine.go
+++ b/core/lwtquarantine/quarantine.go
@@ -129,12 +129,7 @@
 	if len(segment.ID) <= maxSegmentBytes {
 		return Key{Service: service, Segment: segment.ID}
 	}
-	const hexDigits = "0123456789abcdef"
-	digits := []byte("hash-")
-	for sum := xxhash.Sum64String(segment.ID); sum > 0; sum >>= 4 {
-		digits = append(digits, hexDigits[sum&0xf])
-	}
-	return Key{Service: service, Segment: string(digits)}
+	return Key{Service: service, Segment: "hash-" + strconv.FormatUint(xxhash.Sum64String(segment.ID), 16)}
 }
 
 // Admit reports whether a request may be sent to the engines of a service now. If it may not,
