--- a/io/lwthttp/fuzz_test.go
+++ b/io/lwthttp/fuzz_test.go
@@ -20,7 +20,7 @@
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\nTrailer: 1\r\n\r\n",
 		"HTTP/1.1 200 OK\r\n\r\nuntil the end",
 		"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
-		"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 10\r\n\r\nabc",
+		"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 10\r\n\r\nabc",
 	} {
 		f.Add([]byte(text))
 	}
