Announce a server whose missing entry came back

Cause: a reader of the store that found an entry missing after a restore announces the removal; the others keep the server for 2.5 s, and drop it then unless they hear of the entry again. When the server wrote its entry again within that time, with the same incarnation and the same state, the reader found nothing changed and announced nothing: a daemon that doesn't read the store dropped a sound server. Ruled out: a late write of the server (its row was there at 2.1 s), a lost push (the log of the reader has no send for it). Change: an entry that comes back while the server is only kept counts as changed.

--- a/core/lwtdiscovery/discovery.go
+++ b/core/lwtdiscovery/discovery.go
@@ -292,6 +292,12 @@
 	return server, found
 }
 
+// Missing reports whether the entry of a server was removed, and the server is kept for now.
+func (serverSet ServerSet) Missing(id string) bool {
+	_, missing := serverSet.removeAt[id]
+	return missing
+}
+
 // Servers returns all servers, sorted by id.
 func (serverSet ServerSet) Servers() []Server {
 	servers := make([]Server, 0, len(serverSet.servers))
--- a/io/lwtgateway/store.go
+++ b/io/lwtgateway/store.go
@@ -382,8 +382,9 @@
 	if !listed {
 		return gateway.removeServer(now, serverSet, change, source), found
 	}
-	changed := !found || !current.SameIncarnation(server) || current.Draining != server.Draining ||
-		current.Stage != server.Stage
+	// The others may have heard that the entry was missing, and would drop the server.
+	changed := !found || serverSet.Missing(change.Key) || !current.SameIncarnation(server) ||
+		current.Draining != server.Draining || current.Stage != server.Stage
 	gateway.serverRows[change.Key] = gateway.serverRows[change.Key].withEntry(server)
 	gateway.logServerChanges(serverSet, []lwtdiscovery.Server{server}, source)
 	return serverSet.WithEntry(server), changed
