Rely on a reader of the store only from what was read before it started

Cause: a daemon that doesn't read the store reads for itself 1.7 s after the last reachable period of any daemon has ended. When all readers were unusable at once and one that has just started took over, its reachable period kept the others from reading, though nobody had told them what changed in between: a backend server's draining was learned late. Ruled out: an entry that came late (other daemons had it after 0.2 s), a send that waited in a connection (the daemons' own log has the server as serving when they choose it). Change: each daemon keeps until when the table of servers was read without a gap, by itself or by daemons whose reachable period began before that; only this keeps it from reading. Configuration and the quarantine, which are announced in full at each exchange, keep the former condition.

--- a/io/lwtgateway/gateway.go
+++ b/io/lwtgateway/gateway.go
@@ -57,6 +57,9 @@
 	// lastStoreContact is when the store last responded to any daemon, in nanoseconds
 	// since the Unix epoch.
 	lastStoreContact atomic.Int64
+	// serversCoveredUntil is until when all changes of the servers were read by this daemon, or by
+	// daemons that announce them, without a gap, in nanoseconds since the Unix epoch.
+	serversCoveredUntil atomic.Int64
 	// storeEra is the highest known era of the store, 0 before the first response. eraChanged has an
 	// element if it has risen after that.
 	storeEra   atomic.Int64
--- a/io/lwtgateway/quarantine_rows.go
+++ b/io/lwtgateway/quarantine_rows.go
@@ -97,6 +97,7 @@
 func (gateway *Gateway) followQuarantine(ctx context.Context) error {
 	tableFollower := &tableFollower{
 		gateway: gateway, table: quarantineTable, pollTimeout: quarantinePollTimeout,
+		coveredUntil:  &gateway.lastStoreContact,
 		applySnapshot: gateway.applyQuarantineSnapshot, applyChanges: gateway.applyQuarantineRows,
 		onRecovered: func(lwtdiscovery.Outage) {},
 	}
--- a/io/lwtgateway/store.go
+++ b/io/lwtgateway/store.go
@@ -75,6 +75,11 @@
 	// reachable is the latest period in which the store has responded without a gap. Other
 	// goroutines read it.
 	reachable atomic.Pointer[lwtdiscovery.ReachablePeriod]
+	// onRead is called after a successful call that was sent at sentAt. It may be nil.
+	onRead func(sentAt time.Time)
+	// coveredUntil is until when others have read the table for this daemon, in nanoseconds since
+	// the Unix epoch.
+	coveredUntil *atomic.Int64
 	// onRecovered is called when the store responds again after a failure, or has come back from
 	// an older copy.
 	onRecovered func(outage lwtdiscovery.Outage)
@@ -121,6 +126,9 @@
 		tableFollower.failing = true
 		return false
 	}
+	if tableFollower.onRead != nil {
+		tableFollower.onRead(sentAt)
+	}
 	restored := tableFollower.era != era
 	tableFollower.gateway.observeEra(tableFollower.era)
 	previous := tableFollower.recordResponse(sentAt, restored)
@@ -216,14 +224,24 @@
 	if tableFollower.version == 0 || gateway.loadExchange.readsStore() || tableFollower.readRequested.Swap(false) {
 		return true
 	}
-	return now.Sub(time.Unix(0, gateway.lastStoreContact.Load())) >= maxStoreContactAge
+	return now.Sub(time.Unix(0, tableFollower.coveredUntil.Load())) >= maxStoreContactAge
+}
+
+// raise sets a time in nanoseconds since the Unix epoch to a later one.
+func raise(stored *atomic.Int64, at time.Time) {
+	for {
+		previous := stored.Load()
+		if at.UnixNano() <= previous || stored.CompareAndSwap(previous, at.UnixNano()) {
+			return
+		}
+	}
 }
 
 // followConfig keeps the configuration up to date until ctx is canceled.
 func (gateway *Gateway) followConfig(ctx context.Context) error {
 	table, _ := platform.ConfigRowKey()
 	tableFollower := &tableFollower{
-		gateway: gateway, table: table, pollTimeout: configPollTimeout,
+		gateway: gateway, table: table, pollTimeout: configPollTimeout, coveredUntil: &gateway.lastStoreContact,
 		applySnapshot: gateway.applyConfigRows, applyChanges: gateway.applyConfigRows,
 		onRecovered: func(lwtdiscovery.Outage) {},
 	}
@@ -248,7 +266,8 @@
 // followServers keeps the list of backend servers up to date until ctx is canceled.
 func (gateway *Gateway) followServers(ctx context.Context) error {
 	tableFollower := &tableFollower{
-		gateway: gateway, table: platform.ServersTable(),
+		gateway: gateway, table: platform.ServersTable(), coveredUntil: &gateway.serversCoveredUntil,
+		onRead:        func(sentAt time.Time) { raise(&gateway.serversCoveredUntil, sentAt) },
 		applySnapshot: gateway.applyServerSnapshot, applyChanges: gateway.applyServerRows,
 		onRecovered: func(outage lwtdiscovery.Outage) {
 			gateway.view.updateServers(func(serverSet lwtdiscovery.ServerSet) lwtdiscovery.ServerSet {
@@ -432,10 +451,11 @@
 // recordReachablePeriod records the period in which another daemon has reached the store,
 // and removes the servers that were kept only because of an outage that the period covers.
 func (gateway *Gateway) recordReachablePeriod(reachable lwtdiscovery.ReachablePeriod, daemon string) {
-	for lastContact := gateway.lastStoreContact.Load(); reachable.Until.UnixNano() > lastContact; lastContact = gateway.lastStoreContact.Load() {
-		if gateway.lastStoreContact.CompareAndSwap(lastContact, reachable.Until.UnixNano()) {
-			break
-		}
+	raise(&gateway.lastStoreContact, reachable.Until)
+	// A daemon announces what has changed since its first read. If that was after the last read of
+	// all others, what changed in between is announced by nobody.
+	if reachable.Since.UnixNano() <= gateway.serversCoveredUntil.Load() {
+		raise(&gateway.serversCoveredUntil, reachable.Until)
 	}
 	gateway.view.mutex.Lock()
 	serverSet, removed := gateway.view.serverSet.WithReachablePeriod(reachable)
