Rely on a reader of the store only for changes that it announces

A reader announces changes, not what it reads with the whole table. It reads the whole table also when the store has dropped the history of changes, and when entries that came back with an older copy are due; its reachable period goes on then. When all readers do so at once, which they do when the history is dropped, the others rely on them and never hear what changed since the readers' last read: requests go on to a draining server until it lapses. Ruled out: to begin a new reachable period then, which says something else (that the store was away, and entries may have lapsed), and would keep removed servers for 2.5 s at daemons with an outage of their own. Change: a reachable period also says since when each change was announced, and this decides whether others rely on it.

--- a/core/lwtdiscovery/discovery.go
+++ b/core/lwtdiscovery/discovery.go
@@ -98,6 +98,9 @@
 type ReachablePeriod struct {
 	Since time.Time
 	Until time.Time
+	// AnnouncedSince is since when the daemon has announced each change. It is not before Since,
+	// and after it if the daemon has read all servers again since then.
+	AnnouncedSince time.Time
 }
 
 // covers reports whether the store was reachable during all of an outage that another daemon
--- a/io/lwtgateway/states.go
+++ b/io/lwtgateway/states.go
@@ -91,6 +91,9 @@
 	QuarantineDigest uint64 `cbor:"14,keyasint,omitempty"`
 	// StoreEra is the highest era of the store that the daemon knows of.
 	StoreEra int64 `cbor:"15,keyasint,omitempty"`
+	// AnnouncedSinceMilliseconds is since how many milliseconds the daemon has announced each
+	// change of the servers, or 0 if it does not reach the store.
+	AnnouncedSinceMilliseconds int64 `cbor:"16,keyasint,omitempty"`
 }
 
 // withReachablePeriod returns the state with the period in which the daemon reached the
@@ -98,6 +101,7 @@
 func (state daemonState) withReachablePeriod(now time.Time, reachable lwtdiscovery.ReachablePeriod) daemonState {
 	state.ReachableSinceMilliseconds = max(now.Sub(reachable.Since).Milliseconds(), 1)
 	state.ReachableUntilMilliseconds = max(now.Sub(reachable.Until).Milliseconds(), 1)
+	state.AnnouncedSinceMilliseconds = max(now.Sub(reachable.AnnouncedSince).Milliseconds(), 1)
 	return state
 }
 
@@ -105,8 +109,9 @@
 // this daemon's clock.
 func (state daemonState) reachablePeriod(reportedAt time.Time) (reachable lwtdiscovery.ReachablePeriod, known bool) {
 	return lwtdiscovery.ReachablePeriod{
-		Since: reportedAt.Add(-time.Duration(state.ReachableSinceMilliseconds) * time.Millisecond),
-		Until: reportedAt.Add(-time.Duration(state.ReachableUntilMilliseconds) * time.Millisecond),
+		Since:          reportedAt.Add(-time.Duration(state.ReachableSinceMilliseconds) * time.Millisecond),
+		Until:          reportedAt.Add(-time.Duration(state.ReachableUntilMilliseconds) * time.Millisecond),
+		AnnouncedSince: reportedAt.Add(-time.Duration(state.AnnouncedSinceMilliseconds) * time.Millisecond),
 	}, state.ReachableSinceMilliseconds > 0
 }
 
--- a/io/lwtgateway/store.go
+++ b/io/lwtgateway/store.go
@@ -68,6 +68,8 @@
 	// applySnapshot applies all rows of the table, applyChanges the changed rows.
 	applySnapshot func(now time.Time, rows []platform.Row)
 	applyChanges  func(now time.Time, rows []platform.Row)
+	// readWhole says that the last successful call has read the whole table.
+	readWhole bool
 	// readRequested requests a read because updates may have been missed.
 	readRequested atomic.Bool
 	// snapshotRequested requests a read of the whole table.
@@ -95,11 +97,14 @@
 func (tableFollower *tableFollower) recordResponse(
 	sentAt time.Time, restored bool,
 ) (previous lwtdiscovery.ReachablePeriod) {
-	reachable := lwtdiscovery.ReachablePeriod{Since: sentAt, Until: sentAt}
+	reachable := lwtdiscovery.ReachablePeriod{Since: sentAt, Until: sentAt, AnnouncedSince: sentAt}
 	if stored := tableFollower.reachable.Load(); stored != nil {
 		previous = *stored
 		if !restored && !tableFollower.failing && sentAt.Sub(previous.Until) <= maxReachableGap {
 			reachable.Since = previous.Since
+			if !tableFollower.readWhole {
+				reachable.AnnouncedSince = previous.AnnouncedSince
+			}
 		}
 	}
 	tableFollower.reachable.Store(&reachable)
@@ -152,7 +157,7 @@
 			return nil, err
 		}
 		tableFollower.logRestored(position)
-		tableFollower.version, tableFollower.era = position.Version, position.Era
+		tableFollower.version, tableFollower.era, tableFollower.readWhole = position.Version, position.Era, true
 		return func(now time.Time) { tableFollower.applySnapshot(now, rows) }, nil
 	}
 	pollTimeout := tableFollower.pollTimeout
@@ -169,7 +174,7 @@
 		// The store may have given out the version again for other changes.
 		return nil, platform.ErrHistoryLost
 	}
-	tableFollower.version = max(position.Version, tableFollower.version)
+	tableFollower.version, tableFollower.readWhole = max(position.Version, tableFollower.version), false
 	return func(now time.Time) {
 		if len(rows) > 0 {
 			tableFollower.applyChanges(now, rows)
@@ -452,9 +457,9 @@
 // and removes the servers that were kept only because of an outage that the period covers.
 func (gateway *Gateway) recordReachablePeriod(reachable lwtdiscovery.ReachablePeriod, daemon string) {
 	raise(&gateway.lastStoreContact, reachable.Until)
-	// A daemon announces what has changed since its first read. If that was after the last read of
-	// all others, what changed in between is announced by nobody.
-	if reachable.Since.UnixNano() <= gateway.serversCoveredUntil.Load() {
+	// What a daemon reads with the whole table it does not announce. If that was after the last read
+	// of all others, what changed in between is announced by nobody.
+	if reachable.AnnouncedSince.UnixNano() <= gateway.serversCoveredUntil.Load() {
 		raise(&gateway.serversCoveredUntil, reachable.Until)
 	}
 	gateway.view.mutex.Lock()
