Compare the servers of relays with those of a reader of the store

Cause: a daemon notices that it has missed an announced change of the servers by comparing a digest with its relay. A relay is its own relay: one that does not read the store compared its list with none, so that a message lost between two relays (a reset connection, a full queue, a dial in backoff) left its whole group with the old list, until the entry lapsed or was written again. Ruled out: to compare with every daemon that reads the store, which would read the table again for each of them that had lost the store itself. Change: a relay compares with the first other relay, which reads the store. Fleets of up to 12 daemons are not affected: all read the store there. TestMissedChangeIsNoticed: with the relay itself as reference, as before, 40 failures; passes now.

--- a/core/lwtloadrelay/relay_test.go
+++ b/core/lwtloadrelay/relay_test.go
@@ -110,6 +110,27 @@
 	}
 }
 
+// TestMissedChangeIsNoticed guards against a relay that misses a change of the servers and compares
+// its list with none of the daemons that read the store, so that its whole group keeps the old one.
+func TestMissedChangeIsNoticed(t *testing.T) {
+	for _, count := range []int{13, 31, 117, 370} {
+		topologies := topologies(fleet(count))
+		for name, topology := range topologies {
+			reference, found := topologies[topology.Reference()]
+			if !found || topology.Reference() == name {
+				t.Errorf("%d daemons: %s compares its servers with those of %q", count, name, topology.Reference())
+				continue
+			}
+			if topology.IsRelay() && !reference.ReadsStore() {
+				t.Errorf("%d daemons: relay %s compares its servers with %s, which reads no store", count, name, topology.Reference())
+			}
+			if !topology.IsRelay() && !reference.IsRelay() {
+				t.Errorf("%d daemons: %s compares its servers with %s, which is no relay", count, name, topology.Reference())
+			}
+		}
+	}
+}
+
 func load(prefill time.Duration, running int) lwtqueueplacement.Load {
 	return lwtqueueplacement.Load{PrefillTime: prefill, Running: running}
 }
--- a/core/lwtloadrelay/topology.go
+++ b/core/lwtloadrelay/topology.go
@@ -103,6 +103,21 @@
 	return slices.DeleteFunc(slices.Clone(topology.relays), func(name string) bool { return name == topology.self })
 }
 
+// Reference returns the name of the daemon with whose list of servers this daemon compares its own:
+// its relay or, for a relay, the first of the others, which reads the store. It is empty if there is
+// none.
+func (topology Topology) Reference() string {
+	if !topology.IsRelay() {
+		return topology.relay
+	}
+	for _, name := range topology.relays {
+		if name != topology.self {
+			return name
+		}
+	}
+	return ""
+}
+
 // FullMesh reports whether each daemon reports to all others directly.
 func (topology Topology) FullMesh() bool { return topology.fullMesh }
 
--- a/io/lwtgateway/gateway.go
+++ b/io/lwtgateway/gateway.go
@@ -65,7 +65,7 @@
 	storeEra   atomic.Int64
 	eraChanged chan struct{}
 	// serversDifferSince is when this daemon's server list began to differ from that of its
-	// relay, in nanoseconds since the Unix epoch, or 0 if the lists are equal.
+	// reference in the topology, in nanoseconds since the Unix epoch, or 0 if the lists are equal.
 	serversDifferSince atomic.Int64
 	// configRequestedAt is when the configuration was last requested from another daemon,
 	// in nanoseconds since the Unix epoch.
--- a/io/lwtgateway/states.go
+++ b/io/lwtgateway/states.go
@@ -282,7 +282,7 @@
 	direct := role == senderSubscriber && state.Name == from.Name
 	gateway.loadExchange.mutex.Lock()
 	gateway.loadExchange.states.record(reportedAt, state, direct)
-	relay := gateway.loadExchange.topology.Relay()
+	reference := gateway.loadExchange.topology.Reference()
 	gateway.loadExchange.mutex.Unlock()
 	if gateway.members.recordState(reportedAt, state, state.Name == from.Name) {
 		gateway.logJoined(state.Name, state.Boot, state.EntryAddress, "message of "+from.Name)
@@ -297,7 +297,7 @@
 	if state.HoldsOrderLease {
 		gateway.view.setEnginesChangingStage(state.EnginesChangingStage)
 	}
-	if state.Name == relay {
+	if state.Name == reference {
 		gateway.compareServersDigest(now, state.ServersDigest)
 	}
 	if state.Name == from.Name {
--- a/io/lwtgateway/store.go
+++ b/io/lwtgateway/store.go
@@ -476,9 +476,9 @@
 }
 
 // compareServersDigest requests a new snapshot of the servers if their digest has differed
-// from that of this daemon's relay for maxServersDifference.
-func (gateway *Gateway) compareServersDigest(now time.Time, relayDigest uint64) {
-	if relayDigest == 0 || relayDigest == gateway.view.digest() {
+// from that of the daemon that this one compares them with for maxServersDifference.
+func (gateway *Gateway) compareServersDigest(now time.Time, digest uint64) {
+	if digest == 0 || digest == gateway.view.digest() {
 		gateway.serversDifferSince.Store(0)
 		return
 	}
@@ -493,7 +493,7 @@
 	}
 }
 
-// maxServersDifference is how long the server lists of a daemon and its relay may differ. It is
+// maxServersDifference is how long the server lists of a daemon and its reference may differ. It is
 // longer than a change takes to reach both, which is a few milliseconds.
 const maxServersDifference = 700 * time.Millisecond
 
