Log the fingerprint of requests whose attempts fail

The logs of the incident could not tell whether the requests that crash servers are one and the same. A fingerprint is a hash of what makes a request the same one when it comes again: method, host, target, caller's credentials, model and body. The id and the time left are new each time.

attempt-failed names it. No decision uses it yet. Test: TestFingerprint.

--- a/core/lwtroutetable/request.go
+++ b/core/lwtroutetable/request.go
@@ -1,6 +1,11 @@
 package lwtroutetable
 
-import "time"
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"time"
+)
 
 // PromptSegment is a segment of a prompt that several requests can share.
 type PromptSegment struct {
@@ -23,6 +28,37 @@
 	Segments []PromptSegment
 	// LastEventID is the id of the last event that the caller has received.
 	LastEventID string
+	// Fingerprint identifies the content of the request; see Content. It is empty if it is not
+	// known.
+	Fingerprint string
+}
+
+// Content holds what makes a request the same one when its caller submits it again, with another
+// ID and the time that is left.
+type Content struct {
+	Method, Host, Target []byte
+	// Credentials is the Authorization header, which tells callers apart.
+	Credentials []byte
+	Model       string
+	Body        []byte
+}
+
+// fingerprintBytes is the number of bytes of a fingerprint's hash.
+const fingerprintBytes = 16
+
+// Fingerprint returns a hash of the content, in hexadecimal. Nobody can make a request with the
+// fingerprint of another one on purpose.
+func (content Content) Fingerprint() string {
+	hash := sha256.New()
+	var length [8]byte
+	for _, part := range [][]byte{
+		content.Method, content.Host, content.Target, content.Credentials, []byte(content.Model), content.Body,
+	} {
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		hash.Write(length[:])
+		hash.Write(part)
+	}
+	return hex.EncodeToString(hash.Sum(nil)[:fingerprintBytes])
 }
 
 // SharedSegments returns the segments that other requests may have too: all but the last.
--- a/core/lwtroutetable/routetable_test.go
+++ b/core/lwtroutetable/routetable_test.go
@@ -64,3 +64,32 @@
 		t.Errorf("a prompt of one segment shares %d tokens, want 0", alone.SharedPrefixTokens())
 	}
 }
+
+// TestFingerprint guards against two requests that differ in any part of their content being taken
+// for the same one.
+func TestFingerprint(t *testing.T) {
+	content := func(method, host, target, credentials, model, body string) lwtroutetable.Content {
+		return lwtroutetable.Content{
+			Method: []byte(method), Host: []byte(host), Target: []byte(target), Credentials: []byte(credentials),
+			Model: model, Body: []byte(body),
+		}
+	}
+	base := content("POST", "shop.example", "/a/1", "key-1", "m", "order")
+	if base.Fingerprint() != content("POST", "shop.example", "/a/1", "key-1", "m", "order").Fingerprint() {
+		t.Error("equal contents have different fingerprints")
+	}
+	for _, other := range []lwtroutetable.Content{
+		content("PUT", "shop.example", "/a/1", "key-1", "m", "order"),
+		content("POST", "chat.example", "/a/1", "key-1", "m", "order"),
+		content("POST", "shop.example", "/a/2", "key-1", "m", "order"),
+		content("POST", "shop.example", "/a/1", "key-2", "m", "order"),
+		content("POST", "shop.example", "/a/1", "key-1", "n", "order"),
+		content("POST", "shop.example", "/a/1", "key-1", "m", "orders"),
+		content("POST", "shop.example", "/a/1k", "ey-1", "m", "order"),
+		content("POST", "shop.example", "/a/1", "key-1", "mo", "rder"),
+	} {
+		if base.Fingerprint() == other.Fingerprint() {
+			t.Errorf("content %s has the fingerprint of %s", other, base)
+		}
+	}
+}
--- a/io/lwtgateway/attempt.go
+++ b/io/lwtgateway/attempt.go
@@ -317,7 +317,7 @@
 	}
 	lwtlog.Info(call.gateway.logger, "attempt-failed", "request", call.request.ID, "server", serverID, "step", step,
 		"outcome", outcome.String(), "begun", call.exchange.ResponseBegun(), "events", call.attemptEvents,
-		"segments", sharedSegmentIDs(call.request), "err", err)
+		"segments", sharedSegmentIDs(call.request), "fingerprint", call.request.Fingerprint, "err", err)
 	return lwtrequestflow.Failed{
 		Outcome: outcome, PartiallyDelivered: call.exchange.ResponseBegun(), Reason: step + "-" + outcome.String(),
 	}
--- a/io/lwtgateway/call.go
+++ b/io/lwtgateway/call.go
@@ -77,6 +77,7 @@
 		gateway: gateway, exchange: exchange, route: route, request: request,
 		service: route.ChooseService(rand.Float64()), excludedServers: map[string]bool{},
 	}
+	call.request.Fingerprint = requestContent(exchange, request).Fingerprint()
 	retryBudget := retryBudget{view: gateway.view, service: call.service}
 	retryBudget.recordRequest(exchange.Arrived)
 	call.flow = lwtrequestflow.New(exchange.Arrived, route, request, retryBudget)
@@ -88,6 +89,14 @@
 	call.run()
 }
 
+func requestContent(exchange *lwthttp.Exchange, request lwtroutetable.Request) lwtroutetable.Content {
+	header := &exchange.Header
+	return lwtroutetable.Content{
+		Method: header.Method(), Host: header.Host(), Target: header.RequestURI(),
+		Credentials: header.Peek(fasthttp.HeaderAuthorization), Model: request.Model, Body: exchange.Body,
+	}
+}
+
 // run executes the steps of the request's flow.
 func (call *call) run() {
 	var step lwtrequestflow.Step
