Check each crashed process of a server by itself

A daemon ended by itself (nil pointer in recordCrash) in a run of the new test of crashing requests: an engine was back under its id, and broke off a response, while the check of its first crash was still on its way. Responses that are being checked were kept by server id, so the second process replaced the first one's, the first check took the second one's, and the second found none. Callers would have seen every request of the daemon cut.

They are kept by process now: id, address and start time. The other maps by server id in io/lwtgateway were read: none is removed by a check that another one may have started.

--- a/io/lwtgateway/crashes.go
+++ b/io/lwtgateway/crashes.go
@@ -34,8 +34,19 @@
 type crashDetector struct {
 	gateway *Gateway
 	mutex   sync.Mutex
-	// broken holds the responses that are being checked, by server ID.
-	broken map[string]*brokenResponses
+	// broken holds the responses that are being checked.
+	broken map[incarnation]*brokenResponses
+}
+
+// incarnation identifies a process of a server. Two processes of one server may be checked at the
+// same time.
+type incarnation struct {
+	serverID, address string
+	started           int64
+}
+
+func incarnationOf(server lwtdiscovery.Server) incarnation {
+	return incarnation{serverID: server.ID, address: server.Address, started: server.StartTime.UnixNano()}
 }
 
 // brokenResponses holds the requests whose responses an engine has broken off when it had not
@@ -47,7 +58,7 @@
 }
 
 func newCrashDetector(gateway *Gateway) *crashDetector {
-	return &crashDetector{gateway: gateway, broken: map[string]*brokenResponses{}}
+	return &crashDetector{gateway: gateway, broken: map[incarnation]*brokenResponses{}}
 }
 
 // suspectCrash reports an attempt that the engine has broken off to the crash detector, unless the
@@ -64,13 +75,13 @@
 func (crashDetector *crashDetector) record(now time.Time, server lwtdiscovery.Server, request lwtroutetable.Request) {
 	crashDetector.mutex.Lock()
 	defer crashDetector.mutex.Unlock()
-	if broken, found := crashDetector.broken[server.ID]; found && broken.server.SameIncarnation(server) {
+	if broken, found := crashDetector.broken[incarnationOf(server)]; found {
 		if len(broken.requests) < maxBrokenRequests {
 			broken.requests = append(broken.requests, request)
 		}
 		return
 	}
-	crashDetector.broken[server.ID] = &brokenResponses{
+	crashDetector.broken[incarnationOf(server)] = &brokenResponses{
 		server: server, since: now, requests: []lwtroutetable.Request{request},
 	}
 	go crashDetector.check(server)
@@ -86,8 +97,8 @@
 		conn.Close()
 	}
 	crashDetector.mutex.Lock()
-	broken := crashDetector.broken[server.ID]
-	delete(crashDetector.broken, server.ID)
+	broken := crashDetector.broken[incarnationOf(server)]
+	delete(crashDetector.broken, incarnationOf(server))
 	crashDetector.mutex.Unlock()
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		crashDetector.gateway.recordCrash(broken)
