--- a/core/lwtquarantine/crash.go
+++ b/core/lwtquarantine/crash.go
@@ -12,150 +12,261 @@
 	"lacewingtide/core/lwtroutetable"
 )
 
-// Crash is the crash of an engine, as one daemon has seen it.
+// Crash is the crash of a server, as one daemon has seen it.
 type Crash struct {
 	Service  string
 	ServerID string
 	At       time.Time
-	// Suspects holds the segments of the requests that may have caused the crash. Each value is
-	// the number of requests with the segment that the daemon has seen answered before.
-	Suspects map[string]int
+	// Segments holds the ids of the segments that may have caused the crash. Each value is the
+	// number of requests with the segment that the daemon has seen answered before.
+	Segments map[string]int
+	// Requests holds the requests that may have caused the crash.
+	Requests []SuspectRequest
+}
+
+// SuspectRequest is a request that may have crashed a server.
+type SuspectRequest struct {
+	Fingerprint string
+	// Segments holds the ids of its shared segments.
+	Segments []string
 }
 
 const (
-	// minCrashes is the number of crashes from which a segment is quarantined, and
-	// minCrashesIfAnswered the same for one with which requests were answered before.
+	// minCrashes is the number of crashes from which a key is quarantined, and
+	// minCrashesIfAnswered the same for a segment with which requests were answered before.
 	minCrashes           = 2
 	minCrashesIfAnswered = 5
-	// maxCrashes bounds the crashes that are kept for a segment.
+	// maxCrashes bounds the crashes that are kept for a key.
 	maxCrashes = 8
-	// crashSeparation is the least time between two crashes that count. Engines that fail
+	// crashSeparation is the least time between two crashes that count. Servers that fail
 	// together, such as those on one power supply, say nothing about the requests.
 	crashSeparation = 20 * time.Millisecond
-	// crashWindow is the time within which reports of an engine's crash are of the same one.
-	// Daemons notice a crash at different moments, and an engine needs longer to come back. Its
-	// start time does not tell crashes apart: it is not known yet when an engine that has just
+	// crashWindow is the time within which reports of a server's crash are of the same one.
+	// Daemons notice a crash at different moments, and a server needs longer to come back. Its
+	// start time does not tell crashes apart: it is not known yet when a server that has just
 	// come back crashes again.
 	crashWindow = time.Second
-	// crashTTL is how long a crash counts.
-	crashTTL = 10 * time.Minute
-	// maxSuspects bounds the segments of a report.
+	// segmentCrashTTL and requestCrashTTL are how long a crash counts for a segment and for a
+	// request, which is hardly ever the same by chance.
+	segmentCrashTTL = 10 * time.Minute
+	requestCrashTTL = time.Hour
+	// maxSuspects bounds the segments, and also the requests, of a report.
 	maxSuspects = 64
 )
 
+func (key Key) crashTTL() time.Duration {
+	if key.Kind == Request {
+		return requestCrashTTL
+	}
+	return segmentCrashTTL
+}
+
 // RecordCrash records a crash that this daemon has seen, with the requests that may have caused
-// it: those to which the engine had not begun, or just begun, to respond. Report is what the other
-// daemons are to be informed of. Quarantined holds the segments that are quarantined because of
-// it.
+// it: those to which the server had not begun, or just begun, to respond. Report is what the other
+// daemons are to be informed of. Quarantined holds what is quarantined because of it.
 func (quarantine *Quarantine) RecordCrash(
 	now time.Time, crash Crash, requests []lwtroutetable.Request,
 ) (report Crash, quarantined []Entry) {
-	report = crash
-	report.Suspects = quarantine.suspects(crash.Service, requests)
+	report = quarantine.withSuspects(crash, requests)
+	id, isNew := quarantine.apply(now, report, false)
+	probed := false
 	for _, request := range requests {
-		if entry, probed := quarantine.probeOf(request.ID); probed {
-			entry.FirstCrashAt = now
-			quarantined = append(quarantined, quarantine.quarantineSegment(now, entry))
+		held := quarantine.probeOf(request.ID)
+		if held == nil {
+			continue
+		}
+		probed = true
+		if len(quarantine.blamed(now, id, held.Key)) > 0 {
+			// Something else in quarantine may have crashed the server.
+			held.postponeProbe(now)
+			continue
+		}
+		entry := held.Entry
+		entry.FirstCrashAt = now
+		if entry.Kind == Request {
+			// The probe has told the request from those that it was tied with.
+			entry.TieID = 0
 		}
+		quarantined = append(quarantined, quarantine.quarantineKey(now, entry, 0))
 	}
-	if !quarantine.apply(now, report, false) || len(quarantined) > 0 {
+	if !isNew || probed {
 		return report, quarantined
 	}
 	return report, quarantine.convict(now, report)
 }
 
 // ObserveCrash applies the report of a crash by another daemon. It reports whether it was new.
-func (quarantine *Quarantine) ObserveCrash(now time.Time, report Crash) bool {
-	return quarantine.apply(now, report, true)
+func (quarantine *Quarantine) ObserveCrash(now time.Time, report Crash) (isNew bool) {
+	_, isNew = quarantine.apply(now, report, true)
+	return isNew
+}
+
+// Suspected reports whether a request may have crashed a server before.
+func (quarantine *Quarantine) Suspected(service string, request lwtroutetable.Request) bool {
+	found := quarantine.requests.find(Key{Service: service, Kind: Request, ID: request.Fingerprint})
+	return found != nil && len(found.crashes) > 0
 }
 
-// suspects returns the segments of requests, those with the fewest answers first if there are too
-// many.
-func (quarantine *Quarantine) suspects(service string, requests []lwtroutetable.Request) map[string]int {
-	suspects := map[string]int{}
+// withSuspects returns a crash with the requests that may have caused it and their segments. If
+// there are too many, those segments with the fewest answers and those requests with the most
+// crashes go first, and others by chance.
+func (quarantine *Quarantine) withSuspects(crash Crash, requests []lwtroutetable.Request) Crash {
+	crash.Segments = map[string]int{}
+	seen := map[string]bool{}
 	for _, request := range requests {
+		var segments []string
 		for _, segment := range request.SharedSegments() {
-			key := keyOf(service, segment)
-			suspects[key.Segment] = quarantine.segments.record(key).answered
+			key := segmentKey(crash.Service, segment)
+			segments = append(segments, key.ID)
+			crash.Segments[key.ID] = quarantine.record(key).answered
+		}
+		if request.Fingerprint != "" && !seen[request.Fingerprint] {
+			seen[request.Fingerprint] = true
+			crash.Requests = append(crash.Requests, SuspectRequest{Fingerprint: request.Fingerprint, Segments: segments})
 		}
 	}
-	if len(suspects) <= maxSuspects {
-		return suspects
+	if len(crash.Segments) > maxSuspects {
+		segments := slices.SortedFunc(maps.Keys(crash.Segments), func(a, b string) int {
+			return cmp.Or(cmp.Compare(crash.Segments[a], crash.Segments[b]), cmp.Compare(a, b))
+		})
+		for _, segment := range segments[maxSuspects:] {
+			delete(crash.Segments, segment)
+		}
 	}
-	segments := slices.SortedFunc(maps.Keys(suspects), func(a, b string) int {
-		return cmp.Or(cmp.Compare(suspects[a], suspects[b]), cmp.Compare(a, b))
-	})
-	for _, segment := range segments[maxSuspects:] {
-		delete(suspects, segment)
+	if len(crash.Requests) > maxSuspects {
+		slices.SortFunc(crash.Requests, func(a, b SuspectRequest) int {
+			return cmp.Or(quarantine.compareCrashes(crash.Service, b, a),
+				cmp.Compare(crash.rank(a.Fingerprint), crash.rank(b.Fingerprint)))
+		})
+		crash.Requests = crash.Requests[:maxSuspects]
 	}
-	return suspects
+	return crash
 }
 
-// probeOf returns the entry that a request probes.
-func (quarantine *Quarantine) probeOf(requestID string) (Entry, bool) {
+// compareCrashes compares the numbers of crashes of two requests.
+func (quarantine *Quarantine) compareCrashes(service string, a, b SuspectRequest) int {
+	crashes := func(request SuspectRequest) int {
+		found := quarantine.requests.find(Key{Service: service, Kind: Request, ID: request.Fingerprint})
+		if found == nil {
+			return 0
+		}
+		return len(found.crashes)
+	}
+	return cmp.Compare(crashes(a), crashes(b))
+}
+
+// rank orders requests in another way for each crash.
+func (crash Crash) rank(fingerprint string) uint64 {
+	return xxhash.Sum64String(fingerprint + "/" + crash.ServerID + "/" + strconv.FormatInt(crash.At.UnixNano(), 10))
+}
+
+// probeOf returns the entry that a request probes, or nil.
+func (quarantine *Quarantine) probeOf(requestID string) *heldEntry {
 	for _, held := range quarantine.entries {
 		if requestID != "" && held.probeRequest == requestID {
-			return held.Entry, true
+			return held
 		}
 	}
-	return Entry{}, false
+	return nil
 }
 
-// apply counts a crash for its suspects. It reports whether any of them is new for this crash.
-func (quarantine *Quarantine) apply(now time.Time, report Crash, reported bool) (isNew bool) {
-	id := quarantine.crashes.find(now, report)
-	for segment, answered := range report.Suspects {
-		key := Key{Service: report.Service, Segment: segment}
+// apply counts a crash for its suspects. It returns its number in the crashLog, and whether any of
+// the suspects is new for this crash.
+func (quarantine *Quarantine) apply(now time.Time, report Crash, reported bool) (id int, isNew bool) {
+	id = quarantine.crashes.find(now, report)
+	count := func(key Key, answered int) {
 		if !quarantine.crashes.add(id, key) {
-			continue
+			return
 		}
 		isNew = true
-		record := quarantine.segments.record(key)
-		record.crash(now, id, report.At)
+		record := quarantine.record(key)
+		record.crash(now, id, report.At, key.crashTTL())
 		if reported {
 			record.answeredElsewhere += answered
 		}
 	}
-	return isNew
+	for segment, answered := range report.Segments {
+		count(Key{Service: report.Service, ID: segment}, answered)
+	}
+	for _, request := range report.Requests {
+		key := Key{Service: report.Service, Kind: Request, ID: request.Fingerprint}
+		count(key, 0)
+		quarantine.crashes.addRequest(id, key, request.Segments)
+		quarantine.tieRequests(key)
+	}
+	return id, isNew
 }
 
-// crashCount returns the number of crashes that count against a segment: those in which it is
-// involved and that no quarantined segment explains.
-func (quarantine *Quarantine) crashCount(now time.Time, key Key) int {
+// crashCount returns the number of crashes that count against a key: those in which it is involved
+// and that nothing in quarantine explains. Of the crashes in which the same request has a segment,
+// at most maxPerRequest count for it: they say as much about the request.
+func (quarantine *Quarantine) crashCount(now time.Time, key Key, maxPerRequest int) int {
 	count := 0
-	for _, counted := range quarantine.segments.record(key).crashes {
-		if now.Sub(counted.at) < crashTTL && !quarantine.explained(now, counted.id, key) {
+	counted := map[Key]int{}
+	for _, crash := range quarantine.record(key).crashes {
+		if now.Sub(crash.at) >= key.crashTTL() {
+			continue
+		}
+		blamed := quarantine.blamed(now, crash.id, key)
+		witnesses := quarantine.crashes.requestsWith(crash.id, key)
+		if len(blamed) > 0 {
+			witnesses = slices.DeleteFunc(slices.Clone(witnesses), func(request Key) bool { return !slices.Contains(blamed, request) })
+		}
+		switch {
+		case len(witnesses) > 0:
+			witness := slices.MinFunc(witnesses, func(a, b Key) int { return cmp.Compare(counted[a], counted[b]) })
+			if counted[witness] < maxPerRequest {
+				counted[witness]++
+				count++
+			}
+		case len(blamed) == 0:
 			count++
 		}
 	}
 	return count
 }
 
-// explained reports whether a segment other than key, which is quarantined, explains a crash.
-func (quarantine *Quarantine) explained(now time.Time, id int, key Key) bool {
+// blamed returns the suspects of a crash, other than key, that are in quarantine.
+func (quarantine *Quarantine) blamed(now time.Time, id int, key Key) (blamed []Key) {
 	for _, suspect := range quarantine.crashes.suspects(id) {
 		if suspect != key && quarantine.active(now, suspect) != nil {
-			return true
+			blamed = append(blamed, suspect)
 		}
 	}
-	return false
+	return blamed
+}
+
+// convict quarantines what explains a crash best. A request that was involved in enough crashes
+// explains them better than its segments, which sound requests may share.
+func (quarantine *Quarantine) convict(now time.Time, report Crash) []Entry {
+	requests := make([]Key, 0, len(report.Requests))
+	for _, request := range report.Requests {
+		requests = append(requests, Key{Service: report.Service, Kind: Request, ID: request.Fingerprint})
+	}
+	if quarantined := quarantine.convictOne(now, requests); len(quarantined) > 0 {
+		return quarantined
+	}
+	segments := make([]Key, 0, len(report.Segments))
+	for segment := range report.Segments {
+		segments = append(segments, Key{Service: report.Service, ID: segment})
+	}
+	return quarantine.convictOne(now, segments)
 }
 
-// convict quarantines the most suspicious segment of a crash, if one is involved in enough
-// crashes: the one with the fewest answers. The others are innocent unless engines go on crashing,
-// because sound requests share them.
-func (quarantine *Quarantine) convict(now time.Time, report Crash) (quarantined []Entry) {
+// convictOne quarantines the most suspicious of the keys that are involved in enough crashes: the
+// one with the fewest answers, or all of these that have equally few. The others are innocent
+// unless servers go on crashing.
+func (quarantine *Quarantine) convictOne(now time.Time, keys []Key) (quarantined []Entry) {
 	var worst []Key
 	fewest := 0
-	for segment := range report.Suspects {
-		key := Key{Service: report.Service, Segment: segment}
-		answered := quarantine.segments.record(key).allAnswered()
+	for _, key := range keys {
+		answered := quarantine.record(key).allAnswered()
 		needed := minCrashes
-		if answered > 0 {
+		if answered > 0 && key.Kind == Segment {
 			needed = minCrashesIfAnswered
 		}
 		switch {
-		case quarantine.active(now, key) != nil, quarantine.crashCount(now, key) < needed:
+		case quarantine.active(now, key) != nil, quarantine.crashCount(now, key, needed/2) < needed:
 		case len(worst) == 0 || answered < fewest:
 			worst, fewest = []Key{key}, answered
 		case answered == fewest:
@@ -166,23 +277,25 @@
 	if len(worst) > 1 {
 		tieID = xxhash.Sum64String(quarantine.self + "/" + strconv.FormatInt(now.UnixNano(), 10))
 	}
-	for _, key := range worst {
-		quarantined = append(quarantined, quarantine.quarantineSegment(now, Entry{
-			Key: key, Answered: fewest > 0, TieID: tieID, FirstCrashAt: quarantine.segments.record(key).crashes[0].at,
-		}))
+	slices.SortFunc(worst, func(a, b Key) int { return cmp.Compare(a.ID, b.ID) })
+	for i, key := range worst {
+		quarantined = append(quarantined, quarantine.quarantineKey(now, Entry{
+			Key: key, Answered: fewest > 0, TieID: tieID, FirstCrashAt: quarantine.record(key).crashes[0].at,
+		}, time.Duration(i)*probeSeparation))
 	}
-	slices.SortFunc(quarantined, func(a, b Entry) int { return cmp.Compare(a.Segment, b.Segment) })
 	return quarantined
 }
 
-// quarantineSegment quarantines the segment of an entry, or does so again after a probe has crashed
-// an engine.
-func (quarantine *Quarantine) quarantineSegment(now time.Time, entry Entry) Entry {
+// quarantineKey puts the key of an entry in quarantine, or does so again after a probe has crashed a
+// server. The first probe is postponed by probeOffset.
+func (quarantine *Quarantine) quarantineKey(now time.Time, entry Entry, probeOffset time.Duration) Entry {
 	entry.Revision, entry.Lifted, entry.ExpiresAt = 1, false, now.Add(entryTTL)
 	if previous := quarantine.entries[entry.Key]; previous != nil {
 		entry.Revision = previous.Revision + 1
 	}
 	entry = entry.withProbeTime(now)
+	entry.ProbeAt = entry.ProbeAt.Add(probeOffset)
 	quarantine.hold(entry)
-	return entry
+	quarantine.tieRequests(entry.Key)
+	return quarantine.entries[entry.Key].Entry
 }
--- a/core/lwtquarantine/fleet_test.go
+++ b/core/lwtquarantine/fleet_test.go
@@ -3,7 +3,10 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,17 +16,22 @@
 
 const (
 	service = "engines"
-	// deadly is the segment that crashes the engines.
-	deadly = "deadly"
-	// warmUp is the time before requests with deadly are sent, and duration the whole time.
-	warmUp   = 2 * time.Second
-	duration = 30 * time.Second
-	// toleratedCrashes is the number of crashes after which, contactTime later, at most maxLate
-	// requests with deadly may be sent.
-	toleratedCrashes = 5
-	contactTime      = 3 * time.Second
-	maxLate          = 3
-	downtime         = 3 * time.Second
+	// deadly is the segment that crashes the engines, deadlyRequest the fingerprint of the request
+	// that does.
+	deadly        = "deadly"
+	deadlyRequest = "deadly-request"
+	// warmUp is the time before deadly requests are sent, and duration the time in which requests
+	// are. The messages of its end are delivered within settleTime.
+	warmUp     = 2 * time.Second
+	duration   = 30 * time.Second
+	settleTime = 100 * time.Millisecond
+	// toleratedCrashes is the number of crashes by requests with deadly after which, contactTime
+	// later, at most maxLate of them may be sent, toleratedRequestCrashes that by deadlyRequest.
+	toleratedCrashes        = 5
+	toleratedRequestCrashes = 3
+	contactTime             = 3 * time.Second
+	maxLate                 = 3
+	downtime                = 3 * time.Second
 	// confirmDelay is the time in which a daemon confirms a crash.
 	confirmDelay = 15 * time.Millisecond
 	startDelay   = 25 * time.Millisecond
@@ -41,21 +49,39 @@
 	daemons []*simulatedDaemon
 	engines []*simulatedEngine
 	stored  map[lwtquarantine.Key]lwtquarantine.Entry
-	crashes []time.Time
-	// sent holds when requests with deadly were sent to an engine.
-	sent []time.Time
+	// crashes and sent hold, by cause, when engines crashed and when deadly requests were sent to
+	// an engine.
+	crashes, sent map[cause][]time.Time
 	// sound holds the sound requests.
 	sound []*simulatedRequest
 	// blocked counts the sound requests that were kept away from the engines.
 	blocked int
 }
 
+// cause is why an engine crashes.
+type cause int
+
+const (
+	none cause = iota
+	segmentCause
+	requestCause
+	otherCause
+)
+
 type options struct {
 	daemons, engines int
 	// perSecond is the number of requests of all callers.
 	perSecond int
 	// deadlyShare is the share of the requests that have deadly.
 	deadlyShare float64
+	// deadlyRequestShare is the share of the requests that are deadlyRequest.
+	deadlyRequestShare float64
+	// plain says that the requests have no prompts.
+	plain bool
+	// retries is the number of further engines to which a request is sent after a crash.
+	retries int
+	// hotShare is the share of the requests that are the same as many others.
+	hotShare float64
 	// knownBefore says that deadly is sound until it begins to crash engines.
 	knownBefore bool
 	// partitions is the number of groups whose daemons do not reach each other, but the store.
@@ -87,8 +113,11 @@
 	lwtroutetable.Request
 	daemon *simulatedDaemon
 	sentAt time.Time
-	// deadly says that the request crashes the engine, answered that it was answered.
-	deadly, answered bool
+	// crashes is what makes the request crash engines, if anything.
+	crashes cause
+	// retries is the number of further engines to which it may be sent.
+	retries  int
+	answered bool
 }
 
 // event is an action at a moment.
@@ -119,7 +148,8 @@
 func newSimulation(seed uint64, options options) *simulation {
 	simulation := &simulation{
 		options: options, random: rand.New(rand.NewPCG(seed, 1)), now: start,
-		stored: map[lwtquarantine.Key]lwtquarantine.Entry{},
+		stored:  map[lwtquarantine.Key]lwtquarantine.Entry{},
+		crashes: map[cause][]time.Time{}, sent: map[cause][]time.Time{},
 	}
 	for i := range options.daemons {
 		partition := 0
@@ -160,6 +190,9 @@
 	number := 0
 	var arrive func()
 	arrive = func() {
+		if simulation.now.Sub(start) >= duration {
+			return
+		}
 		number++
 		simulation.arrive(number)
 		simulation.after(time.Duration(simulation.random.ExpFloat64()*float64(time.Second)/float64(simulation.options.perSecond)), arrive)
@@ -171,15 +204,18 @@
 	if every := simulation.options.outageEvery; every > 0 {
 		var fail func()
 		fail = func() {
+			if simulation.now.Sub(start) >= duration {
+				return
+			}
 			first := simulation.random.IntN(len(simulation.engines))
 			for i := range max(simulation.options.rack, 1) {
-				simulation.crash(simulation.engines[(first+i)%len(simulation.engines)])
+				simulation.crash(simulation.engines[(first+i)%len(simulation.engines)], otherCause)
 			}
 			simulation.after(every/2+time.Duration(simulation.random.Int64N(int64(every))), fail)
 		}
 		simulation.after(every, fail)
 	}
-	for simulation.now.Sub(start) < duration {
+	for len(simulation.events) > 0 && simulation.now.Sub(start) < duration+settleTime {
 		next := heap.Pop(&simulation.events).(event)
 		simulation.now = next.at
 		next.act()
@@ -190,31 +226,48 @@
 func (simulation *simulation) arrive(number int) {
 	daemon := simulation.daemons[simulation.random.IntN(len(simulation.daemons))]
 	id := fmt.Sprint("r", number)
-	subject := fmt.Sprint("subject", simulation.random.IntN(20))
-	request := &simulatedRequest{Request: lwtroutetable.Request{ID: id}, daemon: daemon, sentAt: simulation.now}
-	segments := []string{"common", subject}
+	request := &simulatedRequest{
+		Request: lwtroutetable.Request{ID: id, Fingerprint: "f-" + id}, daemon: daemon, sentAt: simulation.now,
+		retries: simulation.options.retries,
+	}
+	segments := []string{"common", fmt.Sprint("subject", simulation.random.IntN(20))}
 	begun := simulation.now.Sub(start) >= warmUp
-	if (begun || simulation.options.knownBefore) && simulation.random.Float64() < simulation.options.deadlyShare {
-		request.deadly = begun
+	switch {
+	case begun && simulation.random.Float64() < simulation.options.deadlyRequestShare:
+		request.crashes, request.Fingerprint = requestCause, deadlyRequest
+		segments[1] = "subject0"
+	case (begun || simulation.options.knownBefore) && simulation.random.Float64() < simulation.options.deadlyShare:
+		if begun {
+			request.crashes = segmentCause
+		}
 		segments = append(segments, deadly)
+	case simulation.random.Float64() < simulation.options.hotShare:
+		request.Fingerprint = fmt.Sprint("hot", simulation.random.IntN(5))
+	}
+	if simulation.options.plain {
+		segments = nil
 	}
 	for _, segment := range append(segments, "own-"+id) {
 		request.Segments = append(request.Segments, lwtroutetable.PromptSegment{ID: segment, Tokens: 100})
 	}
-	if !request.deadly {
+	if request.crashes == none {
 		simulation.sound = append(simulation.sound, request)
 	}
-	if _, admitted := daemon.quarantine.Admit(simulation.now, service, request.Request); !admitted {
-		if !request.deadly {
-			simulation.blocked++
-		}
-		return
+	if !simulation.submit(request) && request.crashes == none {
+		simulation.blocked++
 	}
-	simulation.send(request)
 }
 
-// send sends a request to a random engine that is up.
-func (simulation *simulation) send(request *simulatedRequest) {
+// submit sends a request to a random engine that is up, unless it is kept away from all.
+func (simulation *simulation) submit(request *simulatedRequest) (admitted bool) {
+	entry, admitted := request.daemon.quarantine.Admit(simulation.now, service, request.Request)
+	if !admitted {
+		return false
+	}
+	if entry != (lwtquarantine.Entry{}) {
+		// A probe is not retried.
+		request.retries = 0
+	}
 	var up []*simulatedEngine
 	for _, engine := range simulation.engines {
 		if !simulation.now.Before(engine.upAt) {
@@ -222,19 +275,19 @@
 		}
 	}
 	if len(up) == 0 {
-		return
+		return true
 	}
 	engine := up[simulation.random.IntN(len(up))]
-	if request.deadly {
-		simulation.sent = append(simulation.sent, simulation.now)
+	if request.crashes != none {
+		simulation.sent[request.crashes] = append(simulation.sent[request.crashes], simulation.now)
 	}
 	engine.inFlight[request.ID] = request
 	simulation.after(startDelay, func() {
 		if engine.inFlight[request.ID] != request {
 			return
 		}
-		if request.deadly {
-			simulation.crash(engine)
+		if request.crashes != none {
+			simulation.crash(engine, request.crashes)
 			return
 		}
 		simulation.after(answerDelay, func() {
@@ -247,17 +300,22 @@
 			simulation.publish(request.daemon, lifted)
 		})
 	})
+	return true
 }
 
-// crash crashes an engine. Each daemon with requests in flight there sees it.
-func (simulation *simulation) crash(engine *simulatedEngine) {
+// crash crashes an engine. Each daemon with requests in flight there sees it, and sends them to
+// another one: at once, or if they may have crashed one before, when the crash is confirmed.
+func (simulation *simulation) crash(engine *simulatedEngine, cause cause) {
 	if simulation.now.Before(engine.upAt) {
 		return
 	}
-	simulation.crashes = append(simulation.crashes, simulation.now)
+	simulation.crashes[cause] = append(simulation.crashes[cause], simulation.now)
 	lost := map[*simulatedDaemon][]lwtroutetable.Request{}
-	for _, request := range engine.inFlight {
+	var broken []*simulatedRequest
+	for _, id := range slices.Sorted(maps.Keys(engine.inFlight)) {
+		request := engine.inFlight[id]
 		lost[request.daemon] = append(lost[request.daemon], request.Request)
+		broken = append(broken, request)
 	}
 	crashedAt := simulation.now
 	for _, daemon := range simulation.daemons {
@@ -267,6 +325,16 @@
 	}
 	engine.inFlight = map[string]*simulatedRequest{}
 	engine.upAt = simulation.now.Add(downtime)
+	for _, request := range broken {
+		if request.retries--; request.retries < 0 {
+			continue
+		}
+		delay := time.Millisecond
+		if request.daemon.quarantine.Suspected(service, request.Request) {
+			delay += confirmDelay
+		}
+		simulation.after(delay, func() { simulation.submit(request) })
+	}
 }
 
 func (simulation *simulation) report(
@@ -314,13 +382,15 @@
 	}
 }
 
-// quarantinedSound returns how many daemons hold which sound segments in quarantine.
+// quarantinedSound returns how many daemons hold what is sound in quarantine.
 func (simulation *simulation) quarantinedSound() map[string]int {
 	held := map[string]int{}
 	for _, daemon := range simulation.daemons {
 		for _, entry := range daemon.quarantine.Entries(simulation.now) {
-			if !entry.Lifted && entry.Segment != deadly {
-				held[entry.Segment]++
+			// Unlike segments and hot requests, single requests do not come again.
+			single := strings.HasPrefix(entry.ID, "f-")
+			if !entry.Lifted && entry.ID != deadly && entry.ID != deadlyRequest && !single {
+				held[entry.ID]++
 			}
 		}
 	}
@@ -352,6 +422,58 @@
 			options.daemons, options.engines, options.perSecond = 31, 48, 800
 			options.deadlyShare, options.outageEvery, options.rack = 0, 500*time.Millisecond, 6
 		},
+		"retries": func(options *options) { options.retries = 2 },
+		"sound before, retries": func(options *options) {
+			options.knownBefore, options.deadlyShare, options.retries = true, 0.01, 1
+		},
+		"request": func(options *options) { options.deadlyShare, options.deadlyRequestShare = 0, 0.03 },
+		"request, one daemon": func(options *options) {
+			options.daemons, options.deadlyShare, options.deadlyRequestShare = 1, 0, 0.03
+		},
+		"request, rare":     func(options *options) { options.deadlyShare, options.deadlyRequestShare = 0, 0.002 },
+		"request, frequent": func(options *options) { options.deadlyShare, options.deadlyRequestShare = 0, 0.4 },
+		"request, retries": func(options *options) {
+			options.deadlyShare, options.deadlyRequestShare, options.retries = 0, 0.03, 2
+		},
+		"request, 117 daemons": func(options *options) {
+			options.daemons, options.engines, options.perSecond = 117, 97, 1200
+			options.deadlyShare, options.deadlyRequestShare, options.retries = 0, 0.03, 1
+		},
+		"request, 370 daemons": func(options *options) {
+			options.daemons, options.engines, options.perSecond = 370, 600, 4600
+			options.deadlyShare, options.deadlyRequestShare, options.retries = 0, 0.01, 1
+		},
+		"request, lost messages": func(options *options) {
+			options.daemons, options.lostMessages = 31, 0.2
+			options.deadlyShare, options.deadlyRequestShare = 0, 0.03
+		},
+		"request, partitioned daemons": func(options *options) {
+			options.partitions, options.deadlyShare, options.deadlyRequestShare = 4, 0, 0.03
+		},
+		"request, all daemons restart": func(options *options) {
+			options.restartAt, options.deadlyShare, options.deadlyRequestShare = warmUp+6*time.Second, 0, 0.03
+		},
+		"request, other crashes": func(options *options) {
+			options.outageEvery, options.rack = 2*time.Second, 2
+			options.deadlyShare, options.deadlyRequestShare, options.retries = 0, 0.03, 1
+		},
+		"plain request": func(options *options) {
+			options.plain, options.engines, options.retries, options.hotShare = true, 6, 1, 0.2
+			options.deadlyShare, options.deadlyRequestShare = 0, 0.03
+		},
+		"plain requests, other crashes only": func(options *options) {
+			options.plain, options.retries, options.hotShare = true, 1, 0.2
+			options.deadlyShare, options.outageEvery, options.rack = 0, time.Second, 2
+		},
+		"request and segment": func(options *options) { options.deadlyRequestShare = 0.03 },
+		"request and segment, retries": func(options *options) {
+			options.deadlyRequestShare, options.retries = 0.03, 1
+		},
+		"request and segment, 31 daemons, other crashes": func(options *options) {
+			options.daemons, options.engines, options.perSecond = 31, 48, 800
+			options.deadlyRequestShare, options.retries = 0.03, 1
+			options.outageEvery, options.rack = 2*time.Second, 2
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -370,14 +492,26 @@
 	}
 }
 
+// tolerated holds the number of crashes by each cause after which contactTime begins.
+var tolerated = map[cause]int{segmentCause: toleratedCrashes, requestCause: toleratedRequestCrashes}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // minAnswered is the least share of the sound requests that must be answered, of those that are sent
 // later than twice contactTime after the crash that counts for maxLate.
 const minAnswered = 0.95
 
 func (simulation *simulation) answeredRatio() float64 {
 	from := start
-	if len(simulation.crashes) > 0 && simulation.options.deadlyShare > 0 {
-		from = simulation.crashes[min(len(simulation.crashes), toleratedCrashes)-1].Add(2 * contactTime)
+	for cause, tolerated := range tolerated {
+		if crashes := simulation.crashes[cause]; len(crashes) > 0 {
+			from = maxTime(from, crashes[min(len(crashes), tolerated)-1].Add(2*contactTime))
+		}
 	}
 	sent, answered := 0, 0
 	for _, request := range simulation.sound {
@@ -397,30 +531,32 @@
 
 func (simulation *simulation) check(t *testing.T, seed uint64) {
 	t.Helper()
-	late := 0
-	if len(simulation.crashes) >= toleratedCrashes {
-		for _, sent := range simulation.sent {
-			if sent.Sub(simulation.crashes[toleratedCrashes-1]) > contactTime {
+	for cause, tolerated := range tolerated {
+		late, crashes := 0, simulation.crashes[cause]
+		for _, sent := range simulation.sent[cause] {
+			if len(crashes) >= tolerated && sent.Sub(crashes[tolerated-1]) > contactTime {
 				late++
 			}
 		}
-	}
-	if late > maxLate {
-		t.Errorf("seed %d: %d requests sent later than %s after crash %d, want at most %d; %d crashes",
-			seed, late, contactTime, toleratedCrashes, maxLate, len(simulation.crashes))
+		if late > maxLate {
+			t.Errorf("seed %d: %d requests sent later than %s after crash %d, want at most %d; %d crashes",
+				seed, late, contactTime, tolerated, maxLate, len(crashes))
+		}
+		if testing.Verbose() && len(crashes) > 0 {
+			t.Logf("seed %d, cause %d: %d crashes, %d sent, %d late", seed, cause, len(crashes), len(simulation.sent[cause]), late)
+		}
 	}
 	if float64(simulation.blocked) > maxBlocked*float64(len(simulation.sound)) {
 		t.Errorf("seed %d: %d of %d sound requests are kept away; in quarantine %v",
 			seed, simulation.blocked, len(simulation.sound), simulation.quarantinedSound())
 	}
 	if held := simulation.quarantinedSound(); len(held) > 0 {
-		t.Errorf("seed %d: sound segments in quarantine at the end, with the number of daemons: %v", seed, held)
+		t.Errorf("seed %d: sound ones in quarantine at the end, with the number of daemons: %v", seed, held)
 	}
 	if ratio := simulation.answeredRatio(); ratio < minAnswered {
 		t.Errorf("seed %d: %.3f of the sound requests are answered, want at least %g", seed, ratio, minAnswered)
 	}
 	if testing.Verbose() {
-		t.Logf("seed %d: %d crashes, %d sent, %d late, %.3f answered, %d kept away", seed, len(simulation.crashes),
-			len(simulation.sent), late, simulation.answeredRatio(), simulation.blocked)
+		t.Logf("seed %d: %.3f answered, %d kept away", seed, simulation.answeredRatio(), simulation.blocked)
 	}
 }
--- a/core/lwtquarantine/quarantine.go
+++ b/core/lwtquarantine/quarantine.go
@@ -1,12 +1,13 @@
-// Package lwtquarantine finds prompt segments that crash engines, and decides which requests are
-// kept away from all engines because of them.
+// Package lwtquarantine finds requests and prompt segments that crash servers, and decides which
+// requests are kept away from all servers of a service because of them.
 //
 // It is designed for one to hundreds of daemons, each of which sees only a part of the requests
-// and of the crashes, and for a segment that crashes every engine which starts to answer a prompt
-// with it. Daemons report crashes to each other, with the segments of the requests that may have
-// caused them. A segment that is involved in several crashes, and in no answered request since, is
-// quarantined at all daemons. The quarantine ends when a request with the segment is answered: one
-// that was on its way, or a probe, which one daemon sends from time to time.
+// and of the crashes. A request that comes again may crash each server that runs it, and a prompt
+// segment each engine that starts to answer a prompt with it. Daemons report crashes to each other,
+// with the requests that may have caused them and their segments. What is involved in several
+// crashes, and in no answered request since, is quarantined at all daemons. The quarantine ends when
+// a request with it is answered: one that was on its way, or a probe, which one daemon sends from
+// time to time.
 package lwtquarantine
 
 import (
@@ -21,34 +22,27 @@
 	"lacewingtide/core/lwtroutetable"
 )
 
-// Key identifies a prompt segment at the engines of one service.
-type Key struct {
-	Service string
-	// Segment is the segment's id, or a hash of it if it is long.
-	Segment string
-}
-
-// Entry is a decision about a segment that all daemons share.
+// Entry is a decision about a key that all daemons share.
 type Entry struct {
 	Key
-	// Revision counts the quarantines of the segment.
+	// Revision counts the quarantines of the key.
 	Revision int
 	// Lifted says that the quarantine has ended.
 	Lifted bool
-	// Answered says that requests with the segment were answered before the crashes.
+	// Answered says that requests with the key were answered before the crashes.
 	Answered bool
-	// TieID is the same, and not 0, for segments that explain the same crashes equally well.
+	// TieID is the same, and not 0, for keys that explain the same crashes equally well.
 	TieID uint64
 	// FirstCrashAt is the first of the crashes that led to the quarantine. An answered request
 	// that was sent later refutes it.
 	FirstCrashAt time.Time
-	// ProbeAt is when one request with the segment may be sent to an engine again.
+	// ProbeAt is when one request with the key may be sent to a server again.
 	ProbeAt time.Time
 	// ExpiresAt is when the entry is dropped.
 	ExpiresAt time.Time
 }
 
-// Supersedes reports whether an entry replaces another one of the same segment.
+// Supersedes reports whether an entry replaces another one of the same key.
 func (entry Entry) Supersedes(other Entry) bool {
 	if entry.Revision != other.Revision {
 		return entry.Revision > other.Revision
@@ -56,11 +50,15 @@
 	return entry.Lifted && !other.Lifted
 }
 
-// uncertain reports whether the segment may well be sound. It is probed early then.
+// uncertain reports whether the key may well be sound. It is probed early then.
 func (entry Entry) uncertain() bool { return entry.Answered || entry.TieID != 0 }
 
 // withProbeTime returns the entry with ProbeAt for a quarantine that begins at now.
 func (entry Entry) withProbeTime(now time.Time) Entry {
+	if entry.Kind == Request && entry.Revision > maxRequestProbes {
+		entry.ProbeAt = entry.ExpiresAt
+		return entry
+	}
 	delay := probeDelay
 	if entry.uncertain() {
 		delay = uncertainProbeDelay
@@ -72,21 +70,22 @@
 	return entry
 }
 
-// Quarantine is one daemon's knowledge of crashes and quarantined segments. It is not safe for
+// Quarantine is one daemon's knowledge of crashes and of what is quarantined. It is not safe for
 // concurrent use.
 type Quarantine struct {
 	self string
 	// daemons holds the names of the live daemons, self included.
-	daemons  []string
-	entries  map[Key]*heldEntry
-	segments segmentCache
-	crashes  crashLog
+	daemons []string
+	entries map[Key]*heldEntry
+	// segments holds the records of all segments, requests only those of suspects.
+	segments, requests recordCache
+	crashes            crashLog
 }
 
 // heldEntry is an entry with the state of this daemon's probe.
 type heldEntry struct {
 	Entry
-	// probeRequest is the id of the last request that has probed the segment, or empty.
+	// probeRequest is the id of the last request that has probed the key, or empty.
 	probeRequest string
 	// probeEndsAt is when the probe is given up.
 	probeEndsAt time.Time
@@ -96,9 +95,17 @@
 // one until SetDaemons is called.
 func New(self string) *Quarantine {
 	return &Quarantine{
-		self: self, daemons: []string{self}, entries: map[Key]*heldEntry{}, segments: newSegmentCache(),
-		crashes: newCrashLog(),
+		self: self, daemons: []string{self}, entries: map[Key]*heldEntry{}, segments: newRecordCache(),
+		requests: newRecordCache(), crashes: newCrashLog(),
+	}
+}
+
+// record returns the record of a key, which is created if there is none.
+func (quarantine *Quarantine) record(key Key) *record {
+	if key.Kind == Request {
+		return quarantine.requests.record(key)
 	}
+	return quarantine.segments.record(key)
 }
 
 // SetDaemons sets the names of the live daemons, self included.
@@ -110,31 +117,29 @@
 	// maxEntries bounds the number of entries. Beyond it, the oldest one is dropped.
 	maxEntries = 256
 	// probeDelay is the time from a quarantine to the first probe, and uncertainProbeDelay the
-	// same for an uncertain one. Each further quarantine of the segment multiplies it by
-	// probeBackoff.
+	// same for an uncertain one. Each further quarantine of the key multiplies it by probeBackoff.
+	// After maxRequestProbes, a request is not probed again before its entry expires: it is known
+	// exactly, so that more probes would show nothing.
 	probeDelay          = 30 * time.Second
 	uncertainProbeDelay = 2 * time.Second
 	probeBackoff        = 4
 	maxProbeDelay       = 15 * time.Minute
+	maxRequestProbes    = 2
 	// probeTimeout is how long a probe may take.
 	probeTimeout = 5 * time.Second
 	// probeRetryDelay is the time to the next probe after one without a result.
 	probeRetryDelay = 500 * time.Millisecond
-	// maxSegmentBytes is the size of a segment's id from which its hash is kept instead.
-	maxSegmentBytes = 64
+	// probeSeparation is the time between the first probes of keys that explain the same crashes.
+	// If two were at the same server, a crash would not say which has caused it.
+	probeSeparation = 300 * time.Millisecond
+	// maxProbePostponement is how much longer than probeRetryDelay the time to the next probe may
+	// be.
+	maxProbePostponement = 2 * time.Second
 )
 
-// keyOf returns the key of a segment.
-func keyOf(service string, segment lwtroutetable.PromptSegment) Key {
-	if len(segment.ID) <= maxSegmentBytes {
-		return Key{Service: service, Segment: segment.ID}
-	}
-	return Key{Service: service, Segment: "hash-" + strconv.FormatUint(xxhash.Sum64String(segment.ID), 16)}
-}
-
-// Admit reports whether a request may be sent to the engines of a service now. If it may not,
-// entry is the quarantine that keeps it away. A request that probes a segment is admitted until
-// its result is recorded or EndProbe is called.
+// Admit reports whether a request may be sent to the servers of a service now. If it may not,
+// entry is the quarantine that keeps it away; if it may as a probe, the one that it probes. A probe
+// is admitted until its result is recorded or EndProbe is called.
 func (quarantine *Quarantine) Admit(
 	now time.Time, service string, request lwtroutetable.Request,
 ) (entry Entry, admitted bool) {
@@ -142,13 +147,13 @@
 		return Entry{}, true
 	}
 	var held *heldEntry
-	for _, segment := range request.SharedSegments() {
-		found := quarantine.active(now, keyOf(service, segment))
+	for _, key := range keysOf(service, request) {
+		found := quarantine.active(now, key)
 		if found == nil || found == held {
 			continue
 		}
 		if held != nil {
-			// The result of a probe with two quarantined segments would not say which is sound.
+			// The result of a probe with two quarantined keys would not say which is sound.
 			return held.Entry, false
 		}
 		held = found
@@ -175,7 +180,14 @@
 	}
 }
 
-// active returns the entry of a quarantined segment, or nil.
+// postponeProbe ends a probe that says nothing about its key. The time to the next one differs
+// between keys, whose probes may have been at the same server.
+func (held *heldEntry) postponeProbe(now time.Time) {
+	held.probeRequest, held.probeEndsAt = "", now
+	held.ProbeAt = now.Add(probeRetryDelay + time.Duration(weight("", held.Key)%uint64(maxProbePostponement)))
+}
+
+// active returns the entry of a quarantined key, or nil.
 func (quarantine *Quarantine) active(now time.Time, key Key) *heldEntry {
 	held := quarantine.entries[key]
 	if held == nil || held.Lifted || !now.Before(held.ExpiresAt) {
@@ -184,7 +196,7 @@
 	return held
 }
 
-// owns reports whether this daemon probes a segment. Daemons that know the same live daemons
+// owns reports whether this daemon probes a key. Daemons that know the same live daemons
 // agree on the one that does.
 func (quarantine *Quarantine) owns(key Key) bool {
 	own := weight(quarantine.self, key)
@@ -197,18 +209,20 @@
 }
 
 func weight(daemon string, key Key) uint64 {
-	return xxhash.Sum64String(daemon + "/" + key.Service + "/" + key.Segment)
+	return xxhash.Sum64String(daemon + "/" + key.Service + "/" + key.ID)
 }
 
-// RecordAnswer records that a request which was sent to an engine at sentAt was answered
+// RecordAnswer records that a request which was sent to a server at sentAt was answered
 // completely. It returns the quarantines that this refutes, which the other daemons are to be
 // informed of.
 func (quarantine *Quarantine) RecordAnswer(
 	now, sentAt time.Time, service string, request lwtroutetable.Request,
 ) (lifted []Entry) {
-	for _, segment := range request.SharedSegments() {
-		key := keyOf(service, segment)
-		record := quarantine.segments.record(key)
+	for _, key := range keysOf(service, request) {
+		if key.Kind == Request && quarantine.entries[key] == nil && quarantine.requests.find(key) == nil {
+			continue
+		}
+		record := quarantine.record(key)
 		record.answer(sentAt)
 		if held := quarantine.active(now, key); held != nil && sentAt.After(held.FirstCrashAt) {
 			record.crashes = nil
@@ -224,28 +238,6 @@
 	return held.Entry
 }
 
-// breakTie makes the quarantine of a segment certain if the others that explain the same crashes
-// are lifted.
-func (quarantine *Quarantine) breakTie(tieID uint64) {
-	var active *heldEntry
-	lifted := false
-	for _, held := range quarantine.entries {
-		switch {
-		case tieID == 0 || held.TieID != tieID:
-		case held.Lifted:
-			lifted = true
-		case active != nil:
-			return
-		default:
-			active = held
-		}
-	}
-	if active != nil && lifted {
-		active.TieID = 0
-		active.Entry = active.withProbeTime(active.ExpiresAt.Add(-entryTTL))
-	}
-}
-
 // ObserveEntry applies an entry of another daemon or of the store. Changed reports whether it is
 // new to this daemon. Refuted, if not nil, is the entry after this daemon has ended the quarantine
 // because it knows of a request that refutes it.
@@ -254,12 +246,18 @@
 	if !now.Before(entry.ExpiresAt) || previous != nil && !entry.Supersedes(previous.Entry) {
 		return false, nil
 	}
+	tieID := entry.TieID
+	if tieID == 0 && previous != nil {
+		tieID = previous.TieID
+		entry.TieID = tieID
+	}
 	quarantine.hold(entry)
-	quarantine.breakTie(entry.TieID)
-	record := quarantine.segments.record(entry.Key)
+	quarantine.breakTie(tieID)
+	quarantine.tieRequests(entry.Key)
+	record := quarantine.record(entry.Key)
 	switch {
 	case entry.Lifted:
-		// What is known of the segment elsewhere counts here too: it takes more crashes now.
+		// What is known of the key elsewhere counts here too: it takes more crashes now.
 		record.answeredElsewhere++
 		return true, nil
 	case record.answeredSince(entry.FirstCrashAt):
@@ -295,18 +293,18 @@
 		entries = append(entries, held.Entry)
 	}
 	slices.SortFunc(entries, func(a, b Entry) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Segment, b.Segment))
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.ID, b.ID))
 	})
 	return entries
 }
 
-// Digest returns a hash of the quarantined segments, 0 if there are none. It is equal on daemons
+// Digest returns a hash of the quarantined keys, 0 if there are none. It is equal on daemons
 // that hold the same ones.
 func (quarantine *Quarantine) Digest(now time.Time) uint64 {
 	var digest uint64
 	for key, held := range quarantine.entries {
 		if quarantine.active(now, key) != nil {
-			digest ^= xxhash.Sum64String(key.Service + "/" + key.Segment + "/" + strconv.Itoa(held.Revision))
+			digest ^= xxhash.Sum64String(key.Service + "/" + key.ID + "/" + strconv.Itoa(held.Revision))
 		}
 	}
 	return digest
--- a/core/lwtquarantine/script_test.go
+++ b/core/lwtquarantine/script_test.go
@@ -19,13 +19,16 @@
 //	after DURATION
 //	daemons NAME,...
 //	answered SEGMENT,... [sent=DURATION-ago]
-//	crash ENGINE REQUEST:SEGMENT,... ...
-//	report ENGINE SEGMENT=ANSWERED,...
-//	observe SEGMENT revision=N [lifted] [answered] [tied] [expired] [first-crash=DURATION-ago]
+//	crash SERVER REQUEST:SEGMENT,... ...
+//	report SERVER SEGMENT=ANSWERED,... [FINGERPRINT:SEGMENT,...]
+//	observe KEY revision=N [lifted] [answered] [tied] [expired] [first-crash=DURATION-ago]
 //	admit REQUEST:SEGMENT,... => yes|no
+//	suspected REQUEST:SEGMENT,... => yes|no
 //	end-probe REQUEST
-//	quarantined SEGMENT,...|none    with "?" if it was answered before, "=" if it is tied with others
-//	refuted SEGMENT                 by the last observe
+//	quarantined KEY,...|none    with "?" if it was answered before, "=" if it is tied with others
+//	refuted KEY                 by the last observe
+//
+// REQUEST is an id, or ID/FINGERPRINT. KEY is a segment, or /FINGERPRINT.
 type script struct {
 	now        time.Time
 	quarantine *lwtquarantine.Quarantine
@@ -46,7 +49,11 @@
 	case "daemons":
 		script.quarantine.SetDaemons(strings.Split(words[1], ","))
 	case "answered":
-		script.quarantine.RecordAnswer(script.now, script.ago(t, options["sent"]), service, parseRequest("answered:"+words[1]))
+		request := words[1]
+		if !strings.Contains(request, ":") {
+			request = "answered:" + request
+		}
+		script.quarantine.RecordAnswer(script.now, script.ago(t, options["sent"]), service, parseRequest(request))
 	case "crash":
 		script.crash(words)
 	case "report":
@@ -58,12 +65,16 @@
 		if admitted != (words[3] == "yes") {
 			t.Errorf("%s: admitted %v", line, admitted)
 		}
+	case "suspected":
+		if suspected := script.quarantine.Suspected(service, parseRequest(words[1])); suspected != (words[3] == "yes") {
+			t.Errorf("%s: suspected %v", line, suspected)
+		}
 	case "end-probe":
 		script.quarantine.EndProbe(script.now, words[1])
 	case "quarantined":
 		script.expectQuarantined(t, words[1])
 	case "refuted":
-		if script.refuted == nil || script.refuted.Segment != words[1] || !script.refuted.Lifted {
+		if script.refuted == nil || script.refuted.Key != parseKey(words[1]) || !script.refuted.Lifted {
 			t.Errorf("%s: refuted %+v", line, script.refuted)
 		}
 	default:
@@ -92,11 +103,19 @@
 func (script *script) report(t *testing.T, words []string) {
 	t.Helper()
 	report := lwtquarantine.Crash{
-		Service: service, ServerID: words[1], At: script.now, Suspects: map[string]int{},
+		Service: service, ServerID: words[1], At: script.now, Segments: map[string]int{},
 	}
-	for _, suspect := range strings.Split(words[2], ",") {
-		segment, answered, _ := strings.Cut(suspect, "=")
-		report.Suspects[segment] = parseInt(t, answered)
+	for _, word := range words[2:] {
+		if fingerprint, segments, found := strings.Cut(word, ":"); found {
+			report.Requests = append(report.Requests, lwtquarantine.SuspectRequest{
+				Fingerprint: fingerprint, Segments: strings.Split(segments, ","),
+			})
+			continue
+		}
+		for _, suspect := range strings.Split(word, ",") {
+			segment, answered, _ := strings.Cut(suspect, "=")
+			report.Segments[segment] = parseInt(t, answered)
+		}
 	}
 	script.quarantine.ObserveCrash(script.now, report)
 }
@@ -104,7 +123,7 @@
 func (script *script) observe(t *testing.T, words []string, options map[string]string) {
 	t.Helper()
 	entry := lwtquarantine.Entry{
-		Key: lwtquarantine.Key{Service: service, Segment: words[1]}, Revision: parseInt(t, options["revision"]),
+		Key: parseKey(words[1]), Revision: parseInt(t, options["revision"]),
 		FirstCrashAt: script.ago(t, options["first-crash"]), ProbeAt: script.now.Add(time.Minute),
 		ExpiresAt: script.now.Add(time.Hour),
 	}
@@ -123,15 +142,18 @@
 	t.Helper()
 	var held []string
 	for _, entry := range script.quarantine.Entries(script.now) {
-		segment := entry.Segment
+		key := entry.ID
+		if entry.Kind == lwtquarantine.Request {
+			key = "/" + key
+		}
 		if entry.Answered {
-			segment += "?"
+			key += "?"
 		}
 		if entry.TieID != 0 {
-			segment += "="
+			key += "="
 		}
 		if !entry.Lifted {
-			held = append(held, segment)
+			held = append(held, key)
 		}
 	}
 	if want == "none" {
@@ -143,14 +165,22 @@
 }
 
 func parseRequest(text string) lwtroutetable.Request {
-	id, segments, _ := strings.Cut(text, ":")
-	request := lwtroutetable.Request{ID: id}
+	names, segments, _ := strings.Cut(text, ":")
+	id, fingerprint, _ := strings.Cut(names, "/")
+	request := lwtroutetable.Request{ID: id, Fingerprint: fingerprint}
 	for _, segment := range strings.Split(segments, ",") {
 		request.Segments = append(request.Segments, lwtroutetable.PromptSegment{ID: segment, Tokens: 100})
 	}
 	return request
 }
 
+func parseKey(text string) lwtquarantine.Key {
+	if fingerprint, isRequest := strings.CutPrefix(text, "/"); isRequest {
+		return lwtquarantine.Key{Service: service, Kind: lwtquarantine.Request, ID: fingerprint}
+	}
+	return lwtquarantine.Key{Service: service, ID: text}
+}
+
 func parseDuration(t *testing.T, text string) time.Duration {
 	t.Helper()
 	duration, err := time.ParseDuration(text)
--- a/core/lwtrequestflow/message.go
+++ b/core/lwtrequestflow/message.go
@@ -37,6 +37,8 @@
 	PartiallyDelivered bool
 	// NotResumable says that no other attempt can continue the part that has reached the caller.
 	NotResumable bool
+	// NotRetryable says that no other attempt is to be made, whatever the route allows.
+	NotRetryable bool
 	// LastEventID is the id of the last event that was forwarded to the caller.
 	LastEventID string
 	Reason      string
@@ -134,6 +136,9 @@
 		if message.Outcome == lwtretry.NotSent {
 			flow.prefills--
 		}
+		if message.NotRetryable {
+			return flow.giveUp(badGateway, flow.reason)
+		}
 		return flow.prefillFailed(now)
 	}
 	if message.Outcome == lwtretry.NotSent {
@@ -147,6 +152,9 @@
 	if message.LastEventID != "" {
 		flow.lastEventID = message.LastEventID
 	}
+	if message.NotRetryable {
+		return flow.giveUp(badGateway, flow.reason)
+	}
 	// A partial body without events cannot be continued with another response.
 	if flow.partiallyDelivered && (message.NotResumable || flow.route.RetryPolicy != lwtroutetable.RetryResume) {
 		return flow.giveUp(badGateway, flow.reason)
--- a/core/lwtrequestflow/script_test.go
+++ b/core/lwtrequestflow/script_test.go
@@ -35,7 +35,7 @@
 //	request POLICY attempts=N budget=N timeout=DURATION   POLICY: if-not-run, always or resume
 //	after DURATION
 //	placed | placed prefill | not-placed DURATION | prefilled
-//	response STATUS | rejected | misdirected | not-sent | unknown | broken [EVENT-ID]
+//	response STATUS | rejected | misdirected | not-sent | unknown [not-retryable] | broken [EVENT-ID]
 //	delivered | caller-gone | timeout | timeout partially-delivered
 //	=> STEP [STATUS] [after EVENT-ID] [with-kv-cache]
 type script struct {
@@ -121,7 +121,7 @@
 	case "not-sent":
 		return lwtrequestflow.Failed{Outcome: lwtretry.NotSent, Reason: "not-sent"}
 	case "unknown":
-		return lwtrequestflow.Failed{Outcome: lwtretry.Unknown, Reason: "unknown"}
+		return lwtrequestflow.Failed{Outcome: lwtretry.Unknown, Reason: "unknown", NotRetryable: rest == "not-retryable"}
 	case "broken":
 		return lwtrequestflow.Failed{Outcome: lwtretry.Unknown, PartiallyDelivered: true, LastEventID: rest, Reason: "broken"}
 	case "timeout":
--- a/io/lwtgateway/attempt.go
+++ b/io/lwtgateway/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -320,21 +319,23 @@
 		"segments", sharedSegmentIDs(call.request), "fingerprint", call.request.Fingerprint, "err", err)
 	return lwtrequestflow.Failed{
 		Outcome: outcome, PartiallyDelivered: call.exchange.ResponseBegun(), Reason: step + "-" + outcome.String(),
+		// A probe that is retried could crash a second server.
+		NotRetryable: call.probing && outcome == lwtretry.Unknown,
 	}
 }
 
-// maxLoggedSegments bounds the length of a log line.
-const maxLoggedSegments = 16
+// maxLoggedNames bounds the segments or fingerprints in a log line.
+const maxLoggedNames = 16
 
 // sharedSegmentIDs returns the comma-separated IDs of the prompt segments that a request shares
 // with others, for logs.
 func sharedSegmentIDs(request lwtroutetable.Request) string {
 	shared := request.SharedSegments()
-	ids := make([]string, 0, min(len(shared), maxLoggedSegments))
-	for _, segment := range shared[:min(len(shared), maxLoggedSegments)] {
+	ids := make([]string, 0, len(shared))
+	for _, segment := range shared {
 		ids = append(ids, segment.ID)
 	}
-	return strings.Join(ids, ",")
+	return firstNames(ids)
 }
 
 // deleteKVCache asks an engine to free a KV cache.
--- a/io/lwtgateway/call.go
+++ b/io/lwtgateway/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"lacewingtide/core/lwtquarantine"
 	"lacewingtide/core/lwtqueueplacement"
 	"lacewingtide/core/lwtrequestflow"
 	"lacewingtide/core/lwtroutetable"
@@ -40,8 +41,14 @@
 	sentAt        time.Time
 	attemptEvents int
 	firstEventAt  time.Time
-	// quarantined is the segment because of which the request was rejected, or empty.
+	// quarantined is the segment or the fingerprint because of which the request was rejected, or
+	// empty.
 	quarantined string
+	// probing says that the request is sent to find out whether it crashes a server.
+	probing bool
+	// crashChecked is closed when it is known whether the server of the last attempt has crashed,
+	// or nil.
+	crashChecked <-chan struct{}
 	// deliveredStatus is the status of the response that was delivered completely, or 0.
 	deliveredStatus int
 	// countedAtServer is true while the request is counted in the pending load of its
@@ -125,12 +132,17 @@
 
 // chooseServers places the request on the servers of the next attempt.
 func (call *call) chooseServers() any {
+	call.awaitCrashCheck()
 	now := time.Now()
 	call.attemptEvents = 0
-	if entry, admitted := call.gateway.view.admitSegments(now, call.service, call.request); !admitted {
-		call.quarantined = entry.Segment
-		return lwtrequestflow.NotPlaced{Reason: "segment-quarantined", RetryAfter: quarantineRetryAfter(now, entry)}
+	entry, admitted := call.gateway.view.admitRequest(now, call.service, call.request)
+	if !admitted {
+		call.quarantined = entry.ID
+		return lwtrequestflow.NotPlaced{
+			Reason: entry.Kind.String() + "-quarantined", RetryAfter: quarantineRetryAfter(now, entry),
+		}
 	}
+	call.probing = entry != lwtquarantine.Entry{}
 	request := lwtqueueplacement.PlacementRequest{
 		Request: call.request, TimeToObjective: call.timeToObjective(now), TimeToDeadline: call.flow.Deadline().Sub(now),
 		SingleEngine: call.flow.SingleEngine(), Excluded: call.excludedServers,
--- a/io/lwtgateway/deliver.go
+++ b/io/lwtgateway/deliver.go
@@ -40,7 +40,7 @@
 	_, delivered := message.(lwtrequestflow.Delivered)
 	if delivered {
 		call.deliveredStatus = status
-		if call.target.isEngine && status < fasthttp.StatusMultipleChoices {
+		if status < fasthttp.StatusMultipleChoices {
 			call.recordAnswer()
 		}
 	} else {
--- a/io/lwtgateway/quarantine.go
+++ b/io/lwtgateway/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"time"
 
 	"lacewingtide/core/lwtdiscovery"
@@ -11,19 +10,19 @@
 	"lacewingtide/io/lwtlog"
 )
 
-// Bounds of the Retry-After of requests with a quarantined segment.
+// Bounds of the Retry-After of requests that are quarantined or have a quarantined segment.
 const (
 	minQuarantineRetryAfter = time.Second
 	maxQuarantineRetryAfter = time.Minute
 )
 
-// errQuarantined reports that a request was not sent because a segment of its prompt was
+// errQuarantined reports that a request was not sent because it, or a segment of its prompt, was
 // quarantined after it was placed.
-var errQuarantined = fmt.Errorf("request not sent: a segment of its prompt is quarantined")
+var errQuarantined = fmt.Errorf("request not sent: it or a segment of its prompt is quarantined")
 
-// admitSegments reports whether a request may be sent to the engines of a service. If not, entry is
-// the quarantine that keeps it away.
-func (view *view) admitSegments(
+// admitRequest reports whether a request may be sent to the servers of a service. Entry is the
+// quarantine that keeps it away or that it probes, if any.
+func (view *view) admitRequest(
 	now time.Time, service string, request lwtroutetable.Request,
 ) (entry lwtquarantine.Entry, admitted bool) {
 	view.mutex.Lock()
@@ -32,9 +31,9 @@
 }
 
 // admit returns an error if the request may not be sent to a server now. It is called right before
-// it is sent: since it was placed, a segment may have been quarantined.
+// it is sent: since it was placed, it may have been quarantined.
 func (call *call) admit(now time.Time, server lwtdiscovery.Server) error {
-	if _, admitted := call.gateway.view.admitSegments(now, call.service, call.request); !admitted {
+	if _, admitted := call.gateway.view.admitRequest(now, call.service, call.request); !admitted {
 		return errQuarantined
 	}
 	return call.gateway.view.admit(now, server)
@@ -46,6 +45,13 @@
 	view.quarantine.EndProbe(now, requestID)
 }
 
+// suspected reports whether a request may have crashed a server before.
+func (view *view) suspected(service string, request lwtroutetable.Request) bool {
+	view.mutex.Lock()
+	defer view.mutex.Unlock()
+	return view.quarantine.Suspected(service, request)
+}
+
 func (view *view) recordAnswer(
 	now, sentAt time.Time, service string, request lwtroutetable.Request,
 ) (lifted []lwtquarantine.Entry) {
@@ -94,22 +100,26 @@
 	call.gateway.publishQuarantine(lifted, "request "+call.request.ID)
 }
 
-// quarantineRetryAfter returns the time after which a request with a quarantined segment should be
+// quarantineRetryAfter returns the time after which a request that an entry keeps away should be
 // retried.
 func quarantineRetryAfter(now time.Time, entry lwtquarantine.Entry) time.Duration {
 	return min(max(entry.ProbeAt.Sub(now), minQuarantineRetryAfter), maxQuarantineRetryAfter)
 }
 
-// logQuarantine logs that a segment was quarantined or released. Source is what this daemon knows
-// it from: a server or a request, "store", or the daemon that reported it.
+// logQuarantine logs that a segment or a request was quarantined or released. Source is what this
+// daemon knows it from: a server or a request, "store", or the daemon that reported it.
 func (gateway *Gateway) logQuarantine(entry lwtquarantine.Entry, source string) {
-	event := "segment-quarantined"
+	event := entry.Kind.String() + "-quarantined"
 	if entry.Lifted {
-		event = "segment-released"
+		event = entry.Kind.String() + "-released"
+	}
+	idName := "segment"
+	if entry.Kind == lwtquarantine.Request {
+		idName = "fingerprint"
 	}
 	now := time.Now()
 	gateway.metrics.Count(event)
-	lwtlog.Info(gateway.logger, event, "service", entry.Service, "segment", entry.Segment, "revision", entry.Revision,
+	lwtlog.Info(gateway.logger, event, "service", entry.Service, idName, entry.ID, "revision", entry.Revision,
 		"answered", entry.Answered, "tied", entry.TieID != 0, "first-crash", now.Sub(entry.FirstCrashAt).Round(time.Millisecond),
 		"probe-in", entry.ProbeAt.Sub(now).Round(time.Millisecond), "source", source)
 }
@@ -151,7 +161,7 @@
 // relative to when it is sent.
 type quarantineEntry struct {
 	Service  string `cbor:"1,keyasint"`
-	Segment  string `cbor:"2,keyasint"`
+	ID       string `cbor:"2,keyasint"`
 	Revision int    `cbor:"3,keyasint"`
 	Lifted   bool   `cbor:"4,keyasint,omitempty"`
 	Answered bool   `cbor:"5,keyasint,omitempty"`
@@ -161,13 +171,15 @@
 	// entry expires.
 	ProbeMilliseconds  int64 `cbor:"7,keyasint,omitempty"`
 	ExpiryMilliseconds int64 `cbor:"8,keyasint,omitempty"`
-	// TieID is the same for segments that explain the same crashes.
+	// TieID is the same for what explains the same crashes.
 	TieID uint64 `cbor:"9,keyasint,omitempty"`
+	// Kind is that of the entry's key.
+	Kind int `cbor:"10,keyasint,omitempty"`
 }
 
 func encodeQuarantine(now time.Time, entry lwtquarantine.Entry) quarantineEntry {
 	return quarantineEntry{
-		Service: entry.Service, Segment: entry.Segment, Revision: entry.Revision, Lifted: entry.Lifted,
+		Service: entry.Service, Kind: int(entry.Kind), ID: entry.ID, Revision: entry.Revision, Lifted: entry.Lifted,
 		Answered: entry.Answered, TieID: entry.TieID, FirstCrashMilliseconds: now.Sub(entry.FirstCrashAt).Milliseconds(),
 		ProbeMilliseconds: entry.ProbeAt.Sub(now).Milliseconds(), ExpiryMilliseconds: entry.ExpiresAt.Sub(now).Milliseconds(),
 	}
@@ -175,7 +187,7 @@
 
 func (entry quarantineEntry) decode(now time.Time) lwtquarantine.Entry {
 	return lwtquarantine.Entry{
-		Key:      lwtquarantine.Key{Service: entry.Service, Segment: entry.Segment},
+		Key:      lwtquarantine.Key{Service: entry.Service, Kind: lwtquarantine.Kind(entry.Kind), ID: entry.ID},
 		Revision: entry.Revision, Lifted: entry.Lifted, Answered: entry.Answered, TieID: entry.TieID,
 		FirstCrashAt: now.Add(-time.Duration(entry.FirstCrashMilliseconds) * time.Millisecond),
 		ProbeAt:      now.Add(time.Duration(entry.ProbeMilliseconds) * time.Millisecond),
@@ -227,8 +239,3 @@
 	loadExchange.quarantineSentAt[daemon] = now
 	return true
 }
-
-// segmentNames returns the comma-separated segments of a crash, for logs.
-func segmentNames(segments []string) string {
-	return strings.Join(segments[:min(len(segments), maxLoggedSegments)], ",")
-}
--- a/io/lwtgateway/quarantine_rows.go
+++ b/io/lwtgateway/quarantine_rows.go
@@ -35,7 +35,10 @@
 // quarantineRow is the content of a row. Its times are in milliseconds since the Unix epoch, by the
 // clock of the daemon that wrote it.
 type quarantineRow struct {
-	Service          string `json:"service"`
+	Service string `json:"service"`
+	// Kind is requestRowKind, or empty for segments.
+	Kind string `json:"kind,omitempty"`
+	// Segment is the id of the entry's key.
 	Segment          string `json:"segment"`
 	Revision         int    `json:"revision"`
 	Lifted           bool   `json:"lifted,omitempty"`
@@ -45,8 +48,13 @@
 	ExpiresUnixMilli int64  `json:"expires-at"`
 }
 
+const requestRowKind = "request"
+
 func quarantineRowKey(key lwtquarantine.Key) string {
-	rowKey := key.Service + "/" + key.Segment
+	rowKey := key.Service + "/" + key.ID
+	if key.Kind == lwtquarantine.Request {
+		rowKey = key.Service + "/" + requestRowKind + ":" + key.ID
+	}
 	if len(rowKey) > maxRowKeyBytes {
 		return fmt.Sprintf("%016x", xxhash.Sum64String(rowKey))
 	}
@@ -54,10 +62,14 @@
 }
 
 func encodeQuarantineRow(entry lwtquarantine.Entry) (platform.Row, error) {
-	value, err := json.Marshal(quarantineRow{
-		Service: entry.Service, Segment: entry.Segment, Revision: entry.Revision, Lifted: entry.Lifted,
+	content := quarantineRow{
+		Service: entry.Service, Segment: entry.ID, Revision: entry.Revision, Lifted: entry.Lifted,
 		Answered: entry.Answered, TieID: entry.TieID, ProbeUnixMilli: entry.ProbeAt.UnixMilli(), ExpiresUnixMilli: entry.ExpiresAt.UnixMilli(),
-	})
+	}
+	if entry.Kind == lwtquarantine.Request {
+		content.Kind = requestRowKind
+	}
+	value, err := json.Marshal(content)
 	if err != nil {
 		return platform.Row{}, fmt.Errorf("encode quarantine: %w", err)
 	}
@@ -69,8 +81,12 @@
 	if err := json.Unmarshal(row.Value, &content); err != nil {
 		return lwtquarantine.Entry{}, fmt.Errorf("decode quarantine row %s: %w", row.Key, err)
 	}
+	key := lwtquarantine.Key{Service: content.Service, ID: content.Segment}
+	if content.Kind == requestRowKind {
+		key.Kind = lwtquarantine.Request
+	}
 	return lwtquarantine.Entry{
-		Key:      lwtquarantine.Key{Service: content.Service, Segment: content.Segment},
+		Key:      key,
 		Revision: content.Revision, Lifted: content.Lifted, Answered: content.Answered, TieID: content.TieID, FirstCrashAt: now,
 		ProbeAt: time.UnixMilli(content.ProbeUnixMilli), ExpiresAt: time.UnixMilli(content.ExpiresUnixMilli),
 	}, nil
@@ -232,7 +248,7 @@
 	for _, entry := range entries {
 		if err := gateway.storeQuarantineEntry(entry); err != nil {
 			// A daemon that reads the store writes it later.
-			lwtlog.Info(gateway.logger, "quarantine-not-stored", "segment", entry.Segment, "revision", entry.Revision, "err", err)
+			lwtlog.Info(gateway.logger, "quarantine-not-stored", "key", quarantineRowKey(entry.Key), "revision", entry.Revision, "err", err)
 		}
 	}
 }
