Log the software version of servers and the streams that are resumed

The logs of the incident of mixed versions could not tell whether streams mix within an answer or when callers take them up, nor what began them. server-listed has the version of the server's software, decoded from its entry, and stream-resumed says for each run that goes on after an event where the stream began and which version goes on. The id that a caller names for the attempt that began its stream is decoded; no decision uses it or the version yet.

--- a/core/lwtdiscovery/discovery.go
+++ b/core/lwtdiscovery/discovery.go
@@ -32,6 +32,8 @@
 	Draining bool
 	// Stage is empty unless the server is a model engine.
 	Stage Stage
+	// Version is the version of the server's software.
+	Version string
 	// HeartbeatSeq numbers the server's heartbeats since its start.
 	HeartbeatSeq int64
 	// StartTime is the server's start by its own clock. A server that restarts under the same
--- a/core/lwtroutetable/request.go
+++ b/core/lwtroutetable/request.go
@@ -28,6 +28,9 @@
 	Segments []PromptSegment
 	// LastEventID is the id of the last event that the caller has received.
 	LastEventID string
+	// BegunBy is the ID of the request that brought the caller the first event, if the request
+	// resumes its stream.
+	BegunBy string
 	// Fingerprint identifies the content of the request; see Content. It is empty if it is not
 	// known.
 	Fingerprint string
--- a/io/lwtgateway/attempt.go
+++ b/io/lwtgateway/attempt.go
@@ -180,6 +180,7 @@
 		return call.attemptFailure(lwtretry.NotSent, "run", err)
 	}
 	call.recordStart()
+	call.logResume(server)
 	head := call.requestHeadFor(server.ID, call.appendSendHeaders)
 	maxIdle := maxIdleIfNotRetryable
 	if call.route.RetryPolicy == lwtroutetable.RetryAlways {
@@ -222,6 +223,17 @@
 	return message
 }
 
+// logResume logs that a stream goes on at a server, if the request resumes one.
+func (call *call) logResume(server lwtdiscovery.Server) {
+	event := call.flow.LastEventID()
+	if event == "" {
+		return
+	}
+	lwtlog.Info(call.gateway.logger, "stream-resumed", "request", call.request.ID, "begun-by", call.request.BegunBy,
+		"begun", call.exchange.ResponseBegun(), "begun-version", call.begunVersion, "last-event", event,
+		"server", server.ID, "version", server.Version)
+}
+
 // recordPrefillEnd records that the engine which runs the request has completed its
 // prefill.
 func (call *call) recordPrefillEnd() {
--- a/io/lwtgateway/call.go
+++ b/io/lwtgateway/call.go
@@ -41,6 +41,9 @@
 	sentAt        time.Time
 	attemptEvents int
 	firstEventAt  time.Time
+	// begunVersion is the software version of the server that delivered the first event of this
+	// response.
+	begunVersion string
 	// quarantined is the segment or the fingerprint because of which the request was rejected, or
 	// empty.
 	quarantined string
--- a/io/lwtgateway/deliver.go
+++ b/io/lwtgateway/deliver.go
@@ -220,6 +220,7 @@
 func (call *call) writeEvents(events []byte) bool {
 	call.recordPrefillEnd()
 	if !call.exchange.ResponseBegun() {
+		call.begunVersion = call.target.server.Version
 		call.gateway.metrics.Observe("first-event", time.Since(call.exchange.Arrived))
 		if !call.beginResponse() {
 			return false
--- a/io/lwtgateway/store.go
+++ b/io/lwtgateway/store.go
@@ -444,11 +444,12 @@
 ) {
 	for _, server := range servers {
 		current, found := serverSet.Server(server.ID)
-		if found && current.SameIncarnation(server) && current.Draining == server.Draining && current.Stage == server.Stage {
+		if found && current.SameIncarnation(server) && current.Draining == server.Draining && current.Stage == server.Stage &&
+			current.Version == server.Version {
 			continue
 		}
 		lwtlog.Info(gateway.logger, "server-listed", "server", server.ID, "service", server.Service,
-			"address", server.Address, "zone", server.AvailabilityZone, "stage", string(server.Stage),
+			"address", server.Address, "zone", server.AvailabilityZone, "version", server.Version, "stage", string(server.Stage),
 			"leaving", server.Draining, "beat", server.HeartbeatSeq, "source", source)
 	}
 }
