Let streams go on only at the software version that began them

Cause: a daemon went on with a broken stream at whichever engine was free, and a daemon at which a caller took one up neither read which request had begun it nor could know the version. Class of fault: a continuation is placed like something new.

Change: the version of the server that sends the first event is fixed for the response. Daemons record the version of the streams that they begin, report it to others while several versions serve (all in a small fleet, five relays in a large one), and ask for streams that they don't know. What nobody knows is rejected as not run. Daemons that start learn from others, or from the daemons' rows, that a second version has served.

--- a/core/lwtloadrelay/relay_test.go
+++ b/core/lwtloadrelay/relay_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -173,3 +175,39 @@
 		t.Errorf("sum of loads after one daemon stopped reporting: %v", sum)
 	}
 }
+
+// TestHoldersAreFoundAfterLosses guards against knowledge that no daemon finds any more after many daemons were lost at once.
+func TestHoldersAreFoundAfterLosses(t *testing.T) {
+	// minFound is the least share of the keys that a remaining daemon finds. Half of the streams that
+	// callers take up have to go on.
+	const minFound, holders, asked = 0.5, 5, 16
+	for _, size := range []int{4, 12, 13, 31, 117, 370} {
+		for _, lostShare := range []float64{0.1, 0.35, 0.6} {
+			live := fleet(size)
+			random := rand.New(rand.NewPCG(uint64(size), 1))
+			lost := map[string]bool{}
+			for _, i := range random.Perm(size)[:int(lostShare*float64(size))] {
+				lost[live[i].Name] = true
+			}
+			remaining := slices.DeleteFunc(slices.Clone(live), func(daemon lwtloadrelay.Daemon) bool { return lost[daemon.Name] })
+			found := 0
+			const keys = 400
+			for key := range keys {
+				name := fmt.Sprint("key", key)
+				began := live[random.IntN(size)]
+				knows := map[string]bool{began.Name: true}
+				for _, holder := range lwtloadrelay.NewTopology(began, live, noneAvoided).Holders(name, holders) {
+					knows[holder] = true
+				}
+				asking := remaining[random.IntN(len(remaining))]
+				if knows[asking.Name] || slices.ContainsFunc(lwtloadrelay.NewTopology(asking, remaining, noneAvoided).Holders(name, asked),
+					func(holder string) bool { return knows[holder] }) {
+					found++
+				}
+			}
+			if float64(found) < minFound*keys {
+				t.Errorf("%d daemons, %g lost: %d of %d keys are found, want at least %g of them", size, lostShare, found, keys, minFound)
+			}
+		}
+	}
+}
--- a/core/lwtloadrelay/topology.go
+++ b/core/lwtloadrelay/topology.go
@@ -118,6 +118,15 @@
 	return ""
 }
 
+// Holders returns the daemons, other than this one, that hold what is known of a key: all in a full
+// mesh, otherwise count relays.
+func (topology Topology) Holders(key string, count int) []string {
+	if !topology.fullMesh {
+		topology.relays = highestWeighted(topology.relays, key, count)
+	}
+	return topology.OtherRelays()
+}
+
 // FullMesh reports whether each daemon reports to all others directly.
 func (topology Topology) FullMesh() bool { return topology.fullMesh }
 
--- a/core/lwtqueueplacement/placement.go
+++ b/core/lwtqueueplacement/placement.go
@@ -103,6 +103,9 @@
 	KVCacheHolder lwtdiscovery.Server
 	// Excluded holds the ids of engines that rejected or failed this request.
 	Excluded map[string]bool
+	// Version is the only software version that may run the request, if VersionFixed is set.
+	Version      string
+	VersionFixed bool
 }
 
 // Rejection says why a request was not placed and after which time to retry it.
@@ -274,7 +277,7 @@
 
 func (enginePool *EnginePool) usable(now time.Time, engine *engine, request PlacementRequest) bool {
 	return !engine.server.Draining && !engine.changingStage && !engine.backoff.active(now) &&
-		!request.Excluded[engine.server.ID] && enginePool.options.RateLimits.Allows(now, engine.server)
+		(!request.VersionFixed || engine.server.Version == request.Version) && !request.Excluded[engine.server.ID] && enginePool.options.RateLimits.Allows(now, engine.server)
 }
 
 // rejectWithoutEngine rejects a request for which no engine of a stage is usable. Reason is used
--- a/core/lwtroutetable/routetable.go
+++ b/core/lwtroutetable/routetable.go
@@ -3,6 +3,7 @@
 package lwtroutetable
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -137,6 +138,11 @@
 	return names
 }
 
+// HasTarget reports whether a service receives requests of the route.
+func (route Route) HasTarget(service string) bool {
+	return slices.ContainsFunc(route.Targets, func(target Target) bool { return target.Service == service && target.Weight > 0 })
+}
+
 // ChooseService chooses the service of a request by the weights of the targets. Random is
 // uniform in [0, 1).
 func (route Route) ChooseService(random float64) string {
--- /dev/null
+++ b/core/lwtstreamversion/script_test.go
@@ -0,0 +1,140 @@
+package lwtstreamversion_test
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"lacewingtide/core/lwtstreamversion"
+)
+
+const service = "engines"
+
+// script drives the table of one daemon. Its lines are:
+//
+//	after DURATION
+//	serving VERSION,...
+//	reported-mixed DURATION            by another daemon, for a time
+//	begin REQUEST VERSION lifetime=DURATION
+//	observe REQUEST VERSION lifetime=DURATION
+//	end REQUEST
+//	report                             all that are due
+//	find REQUEST => VERSION|unknown
+//	mixed => yes|no
+//	mixed-for => DURATION|none
+//	due => REQUEST,...|none
+type script struct {
+	now   time.Time
+	table *lwtstreamversion.Table
+	names map[lwtstreamversion.Key]string
+}
+
+func (script *script) line(t *testing.T, line string) {
+	t.Helper()
+	command, want, _ := strings.Cut(line, " => ")
+	words := strings.Fields(command)
+	var got string
+	switch words[0] {
+	case "after":
+		script.now = script.now.Add(parseDuration(t, words[1]))
+	case "serving":
+		serving := map[string]bool{}
+		for _, version := range strings.Split(words[1], ",") {
+			serving[version] = true
+		}
+		script.table.SetVersions(script.now, service, serving)
+	case "reported-mixed":
+		script.table.ObserveMixed(service, script.now.Add(parseDuration(t, words[1])))
+	case "begin":
+		script.table.Begin(script.now, script.stream(t, words))
+	case "observe":
+		script.table.Observe(script.now, script.stream(t, words))
+	case "end":
+		script.table.End(lwtstreamversion.KeyOf(words[1]))
+	case "report":
+		for _, stream := range script.table.DueReports(script.now) {
+			script.table.RecordReport(script.now, stream.Key)
+		}
+	case "find":
+		got = "unknown"
+		if stream, found := script.table.Find(script.now, lwtstreamversion.KeyOf(words[1])); found {
+			got = stream.Version
+		}
+	case "mixed":
+		got = map[bool]string{true: "yes", false: "no"}[script.table.Mixed(script.now, service)]
+	case "mixed-for":
+		got = "none"
+		if until, found := script.table.MixedUntil(script.now)[service]; found {
+			got = until.Sub(script.now).String()
+		}
+	case "due":
+		got = script.due()
+	default:
+		t.Fatalf("unknown line %q", line)
+	}
+	if got != want {
+		t.Errorf("%s: got %s", line, got)
+	}
+}
+
+func (script *script) stream(t *testing.T, words []string) lwtstreamversion.Stream {
+	t.Helper()
+	key := lwtstreamversion.KeyOf(words[1])
+	script.names[key] = words[1]
+	return lwtstreamversion.Stream{
+		Key: key, Service: service, Version: words[2],
+		ExpiresAt: script.now.Add(parseDuration(t, strings.TrimPrefix(words[3], "lifetime="))),
+	}
+}
+
+func (script *script) due() string {
+	var names []string
+	for _, stream := range script.table.DueReports(script.now) {
+		names = append(names, script.names[stream.Key])
+	}
+	if len(names) == 0 {
+		return "none"
+	}
+	slices.Sort(names)
+	return strings.Join(names, ",")
+}
+
+func parseDuration(t *testing.T, text string) time.Duration {
+	t.Helper()
+	duration, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return duration
+}
+
+// TestScripts guards against streams whose version is forgotten too early, never reported, or taken for known.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scripts: %v", err)
+	}
+	for _, file := range files {
+		content, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, section := range txtar.Parse(content).Files {
+			t.Run(section.Name, func(t *testing.T) {
+				script := &script{
+					now: time.Unix(1000, 0), table: lwtstreamversion.New(), names: map[lwtstreamversion.Key]string{},
+				}
+				for line := range strings.Lines(string(section.Data)) {
+					if line = strings.TrimSpace(line); line != "" {
+						script.line(t, line)
+					}
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/core/lwtstreamversion/streamversion.go
@@ -0,0 +1,222 @@
+// Package lwtstreamversion knows which software version of a service has begun which stream.
+//
+// Servers of several versions may serve side by side during a release. A stream that is broken off
+// may go on only at the version that began it, also when its caller takes it up at another daemon.
+// Each daemon knows the streams that it has begun, and those that others have reported to it.
+package lwtstreamversion
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Key identifies a stream. It is a hash of the ID of the request that began it.
+type Key [16]byte
+
+// KeyOf returns the key of the stream that a request began.
+func KeyOf(requestID string) Key {
+	hash := sha256.Sum256([]byte(requestID))
+	return Key(hash[:len(Key{})])
+}
+
+// Stream says which software version has begun a stream.
+type Stream struct {
+	Key     Key
+	Service string
+	Version string
+	// ExpiresAt is when the caller gives up at the latest.
+	ExpiresAt time.Time
+}
+
+const (
+	// maxStreams bounds the streams in a table. Beyond it, those that expire first are dropped.
+	maxStreams = 1 << 15
+	// minRetention and maxRetention bound the time for which a version counts as serving after
+	// its last server has left.
+	minRetention = 15 * time.Second
+	maxRetention = 10 * time.Minute
+	// A stream is reported to other daemons maxReports times, reportInterval apart: the first
+	// message may be lost, or the daemons that hold the stream may change.
+	maxReports     = 2
+	reportInterval = time.Second
+)
+
+// Table holds streams and the versions of services. It is not safe for concurrent use.
+type Table struct {
+	streams map[Key]tableEntry
+	// services holds which versions serve, by service.
+	services map[string]*serviceVersions
+	// retention is how long a stream may last.
+	retention time.Duration
+}
+
+type tableEntry struct {
+	Stream
+	// own says that this daemon has begun the stream.
+	own bool
+	// reports is how often it was reported to other daemons, reportedAt when it last was.
+	reports    int
+	reportedAt time.Time
+}
+
+type serviceVersions struct {
+	serving map[string]bool
+	// left holds when the last server of a version left.
+	left map[string]time.Time
+	// reportedMixed is until when other daemons say that several versions serve.
+	reportedMixed time.Time
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{streams: map[Key]tableEntry{}, services: map[string]*serviceVersions{}, retention: minRetention}
+}
+
+func (table *Table) service(name string) *serviceVersions {
+	versions, found := table.services[name]
+	if !found {
+		versions = &serviceVersions{serving: map[string]bool{}, left: map[string]time.Time{}}
+		table.services[name] = versions
+	}
+	return versions
+}
+
+// SetVersions sets the versions of a service that serve now.
+func (table *Table) SetVersions(now time.Time, service string, serving map[string]bool) {
+	versions := table.service(service)
+	for version := range versions.serving {
+		if !serving[version] {
+			versions.left[version] = now
+		}
+	}
+	maps.DeleteFunc(versions.left, func(version string, at time.Time) bool {
+		return serving[version] || now.Sub(at) >= table.retention
+	})
+	versions.serving = maps.Clone(serving)
+}
+
+// ObserveMixed notes that another daemon says that several versions of a service serve. This holds
+// until a moment.
+func (table *Table) ObserveMixed(service string, until time.Time) {
+	versions := table.service(service)
+	if until.After(versions.reportedMixed) {
+		versions.reportedMixed = until
+	}
+}
+
+// Mixed reports whether servers of several versions of a service serve, or did within the time that
+// a stream may last.
+func (table *Table) Mixed(now time.Time, service string) bool {
+	versions, found := table.services[service]
+	return found && (versions.ownMixed(now, table.retention) || now.Before(versions.reportedMixed))
+}
+
+func (versions *serviceVersions) ownMixed(now time.Time, retention time.Duration) bool {
+	count := len(versions.serving)
+	for version, at := range versions.left {
+		if !versions.serving[version] && now.Sub(at) < retention {
+			count++
+		}
+	}
+	return count > 1
+}
+
+// MixedServices returns the services of which this daemon itself knows several versions, sorted.
+func (table *Table) MixedServices(now time.Time) (names []string) {
+	for name, versions := range table.services {
+		if versions.ownMixed(now, table.retention) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// MixedUntil returns until when several versions of a service count as serving, for each of which
+// this daemon or another one knows several. For those of which it knows several now, that is a
+// stream's longest time from now on.
+func (table *Table) MixedUntil(now time.Time) map[string]time.Time {
+	mixed := map[string]time.Time{}
+	for name, versions := range table.services {
+		switch {
+		case versions.ownMixed(now, table.retention):
+			mixed[name] = now.Add(table.retention)
+		case now.Before(versions.reportedMixed):
+			mixed[name] = versions.reportedMixed
+		}
+	}
+	return mixed
+}
+
+// Begin records a stream that this daemon has begun.
+func (table *Table) Begin(now time.Time, stream Stream) {
+	if _, found := table.streams[stream.Key]; found {
+		return
+	}
+	table.retention = min(max(table.retention, stream.ExpiresAt.Sub(now)), maxRetention)
+	table.add(now, tableEntry{Stream: stream, own: true})
+}
+
+// End drops a stream that its caller has received completely.
+func (table *Table) End(key Key) { delete(table.streams, key) }
+
+// Observe records a stream of which another daemon knows.
+func (table *Table) Observe(now time.Time, stream Stream) {
+	if _, found := table.streams[stream.Key]; !found && now.Before(stream.ExpiresAt) {
+		table.add(now, tableEntry{Stream: stream})
+	}
+}
+
+// Find returns the stream with a key.
+func (table *Table) Find(now time.Time, key Key) (Stream, bool) {
+	entry, found := table.streams[key]
+	if !found || !now.Before(entry.ExpiresAt) {
+		return Stream{}, false
+	}
+	return entry.Stream, true
+}
+
+// DueReports returns the streams that are to be reported to other daemons now, those of services of
+// which several versions serve. It drops the expired ones.
+func (table *Table) DueReports(now time.Time) (streams []Stream) {
+	for key, entry := range table.streams {
+		switch {
+		case !now.Before(entry.ExpiresAt):
+			delete(table.streams, key)
+		case entry.own && entry.reports < maxReports && table.Mixed(now, entry.Service) &&
+			now.Sub(entry.reportedAt) >= reportInterval:
+			streams = append(streams, entry.Stream)
+		}
+	}
+	return streams
+}
+
+// RecordReport records that a stream was reported to other daemons.
+func (table *Table) RecordReport(now time.Time, key Key) {
+	if entry, found := table.streams[key]; found {
+		entry.reports++
+		entry.reportedAt = now
+		table.streams[key] = entry
+	}
+}
+
+// add stores an entry. If there are too many, it drops the eighth of them that expires first.
+func (table *Table) add(now time.Time, entry tableEntry) {
+	table.streams[entry.Key] = entry
+	if len(table.streams) <= maxStreams {
+		return
+	}
+	maps.DeleteFunc(table.streams, func(_ Key, entry tableEntry) bool { return !now.Before(entry.ExpiresAt) })
+	if len(table.streams) <= maxStreams {
+		return
+	}
+	entries := slices.SortedFunc(maps.Values(table.streams), func(a, b tableEntry) int {
+		return cmp.Or(a.ExpiresAt.Compare(b.ExpiresAt), slices.Compare(a.Key[:], b.Key[:]))
+	})
+	for _, dropped := range entries[:len(entries)/8] {
+		delete(table.streams, dropped.Key)
+	}
+}
--- a/io/lwtgateway/attempt.go
+++ b/io/lwtgateway/attempt.go
@@ -81,8 +81,7 @@
 	view.withEnginePool(call.service, func(enginePool *lwtqueueplacement.EnginePool) {
 		if err == nil {
 			enginePool.PrefillEnded(call.request, placement, prefillTime)
-			call.setDecodeTarget(enginePool.ChooseDecode(
-				now, lwtqueueplacement.PlacementRequest{Request: call.request, Excluded: call.excludedServers}, placement))
+			call.setDecodeTarget(enginePool.ChooseDecode(now, call.placementRequest(), placement))
 			return
 		}
 		enginePool.PrefillEnded(call.request, placement, 0)
@@ -230,7 +229,7 @@
 		return
 	}
 	lwtlog.Info(call.gateway.logger, "stream-resumed", "request", call.request.ID, "begun-by", call.request.BegunBy,
-		"begun", call.exchange.ResponseBegun(), "begun-version", call.begunVersion, "last-event", event,
+		"begun", call.exchange.ResponseBegun(), "begun-version", call.version, "last-event", event,
 		"server", server.ID, "version", server.Version)
 }
 
--- a/io/lwtgateway/call.go
+++ b/io/lwtgateway/call.go
@@ -41,9 +41,11 @@
 	sentAt        time.Time
 	attemptEvents int
 	firstEventAt  time.Time
-	// begunVersion is the software version of the server that delivered the first event of this
-	// response.
-	begunVersion string
+	// version is the software version that has begun the stream, if versionFixed is set: it may go
+	// on only there. versionUnknown says that no daemon knows it, though several versions serve.
+	version        string
+	versionFixed   bool
+	versionUnknown bool
 	// quarantined is the segment or the fingerprint because of which the request was rejected, or
 	// empty.
 	quarantined string
@@ -88,6 +90,7 @@
 		service: route.ChooseService(rand.Float64()), excludedServers: map[string]bool{},
 	}
 	call.request.Fingerprint = requestContent(exchange, request).Fingerprint()
+	call.resume()
 	retryBudget := retryBudget{view: gateway.view, service: call.service}
 	retryBudget.recordRequest(exchange.Arrived)
 	call.flow = lwtrequestflow.New(exchange.Arrived, route, request, retryBudget)
@@ -146,10 +149,11 @@
 		}
 	}
 	call.probing = entry != lwtquarantine.Entry{}
-	request := lwtqueueplacement.PlacementRequest{
-		Request: call.request, TimeToObjective: call.timeToObjective(now), TimeToDeadline: call.flow.Deadline().Sub(now),
-		SingleEngine: call.flow.SingleEngine(), Excluded: call.excludedServers,
+	if call.versionUnknown {
+		return lwtrequestflow.NotPlaced{Reason: "stream-version-unknown", RetryAfter: unknownStreamRetryAfter}
 	}
+	request := call.placementRequest()
+	request.TimeToObjective, request.TimeToDeadline = call.timeToObjective(now), call.flow.Deadline().Sub(now)
 	if call.flow.HasKVCache() {
 		request.KVCacheHolder = call.target.placement.Prefill
 	} else {
@@ -169,6 +173,13 @@
 	}
 }
 
+func (call *call) placementRequest() lwtqueueplacement.PlacementRequest {
+	return lwtqueueplacement.PlacementRequest{
+		Request: call.request, SingleEngine: call.flow.SingleEngine(), Excluded: call.excludedServers,
+		Version: call.version, VersionFixed: call.versionFixed,
+	}
+}
+
 // timeToObjective returns the time left until the response would miss the route's
 // objective. Time that the caller spent on earlier submissions is deducted; it is estimated
 // from the timeout that the caller sent.
--- a/io/lwtgateway/deliver.go
+++ b/io/lwtgateway/deliver.go
@@ -40,6 +40,7 @@
 	_, delivered := message.(lwtrequestflow.Delivered)
 	if delivered {
 		call.deliveredStatus = status
+		call.endStream()
 		if status < fasthttp.StatusMultipleChoices {
 			call.recordAnswer()
 		}
@@ -220,7 +221,7 @@
 func (call *call) writeEvents(events []byte) bool {
 	call.recordPrefillEnd()
 	if !call.exchange.ResponseBegun() {
-		call.begunVersion = call.target.server.Version
+		call.beginStream()
 		call.gateway.metrics.Observe("first-event", time.Since(call.exchange.Arrived))
 		if !call.beginResponse() {
 			return false
--- a/io/lwtgateway/exchange.go
+++ b/io/lwtgateway/exchange.go
@@ -301,6 +301,7 @@
 	network.HandleWithIdentity(groupReportKind, gateway.handleGroupReport)
 	network.HandleWithIdentity(relayReportKind, gateway.handleRelayReport)
 	network.HandleWithIdentity(serversKind, gateway.handleServerMessage)
+	network.HandleWithIdentity(streamsKind, gateway.handleStreams)
 	network.HandleWithIdentity(configRequestKind, gateway.handleConfigRequest)
 	network.HandleWithIdentity(configKind, gateway.handleConfig)
 	gateway.loadExchange.mutex.Lock()
--- a/io/lwtgateway/gateway.go
+++ b/io/lwtgateway/gateway.go
@@ -45,6 +45,7 @@
 	loadExchange   *loadExchange
 	crashDetector  *crashDetector
 	quarantineRows *quarantineRows
+	streamWaiters  *streamWaiters
 
 	// serverRows holds the newest row seen of each server, by row key. It is guarded by the mutex
 	// of view.
@@ -113,6 +114,7 @@
 	gateway.loadExchange = newLoadExchange()
 	gateway.crashDetector = newCrashDetector(gateway)
 	gateway.quarantineRows = newQuarantineRows()
+	gateway.streamWaiters = newStreamWaiters()
 	return gateway, nil
 }
 
@@ -230,6 +232,7 @@
 		"orders":     gateway.orderSender.serve,
 		"sweep":      gateway.sweepIdleConnections,
 		"limits":     gateway.reportLimitUsage,
+		"streams":    gateway.reportDueStreams,
 		"entry":      func(context.Context) error { return gateway.entryServer.Serve(listeners.entry) },
 		"readiness":  gateway.serveAuxiliary(listeners.readiness, gateway.serveReadiness),
 		"lookup":     gateway.serveAuxiliary(listeners.lookup, gateway.serveLookup),
--- a/io/lwtgateway/member_rows.go
+++ b/io/lwtgateway/member_rows.go
@@ -10,9 +10,12 @@
 )
 
 // followMembers periodically writes this daemon's row and reads the rows of all others,
-// until ctx is canceled.
+// until ctx is canceled. It reads first, because the row of its process before is overwritten.
 func (gateway *Gateway) followMembers(ctx context.Context) error {
-	var writtenAt, readAt time.Time
+	if rows, err := gateway.readMemberRows(); err == nil {
+		gateway.observeMixedRows(rows)
+	}
+	writtenAt, readAt := time.Time{}, time.Now()
 	var writtenEra int64
 	for {
 		now, era := time.Now(), gateway.storeEra.Load()
@@ -23,7 +26,7 @@
 			writtenAt, writtenEra = now, era
 		}
 		if now.Sub(readAt) >= gateway.memberReadInterval(now, interval) {
-			gateway.readMemberRows()
+			_, _ = gateway.readMemberRows()
 			readAt = now
 		}
 		if !sleep(ctx, isolatedReadInterval) {
@@ -47,12 +50,12 @@
 	return maxMemberInterval
 }
 
-func (gateway *Gateway) readMemberRows() {
+func (gateway *Gateway) readMemberRows() ([]platform.Row, error) {
 	rows, _, err := gateway.store.Rows(memberTable, StoreTimeout)
 	if err != nil {
 		gateway.metrics.Count("members-not-read")
 		lwtlog.Debug(gateway.logger, "members-not-read", "err", err)
-		return
+		return nil, err
 	}
 	joined, malformed := gateway.members.applyRows(time.Now(), rows)
 	for _, member := range joined {
@@ -61,6 +64,22 @@
 	for _, err := range malformed {
 		lwtlog.Warn(gateway.logger, "daemon-row-ignored", "err", err)
 	}
+	return rows, nil
+}
+
+// observeMixedRows applies what the daemons' rows say of services of which several software versions
+// have served. After a restart of all daemons, nobody else knows.
+func (gateway *Gateway) observeMixedRows(rows []platform.Row) {
+	for _, row := range rows {
+		var content member
+		if err := json.Unmarshal(row.Value, &content); err != nil {
+			// applyRows has reported it.
+			continue
+		}
+		for service, until := range content.MixedUntil {
+			gateway.view.observeMixed([]string{service}, time.UnixMilli(until))
+		}
+	}
 }
 
 func (gateway *Gateway) logJoined(name string, boot uint64, entry, source string) {
@@ -78,7 +97,11 @@
 }
 
 func (gateway *Gateway) writeMemberRow() {
-	value, err := json.Marshal(gateway.members.nextHeartbeat(gateway.serving()))
+	mixedUntil := map[string]int64{}
+	for service, until := range gateway.view.mixedUntil(time.Now()) {
+		mixedUntil[service] = until.UnixMilli()
+	}
+	value, err := json.Marshal(gateway.members.nextHeartbeat(gateway.serving(), mixedUntil))
 	if err == nil {
 		err = gateway.store.Set(platform.Row{Table: memberTable, Key: gateway.settings.Name, Value: value}, StoreTimeout)
 	}
--- a/io/lwtgateway/members.go
+++ b/io/lwtgateway/members.go
@@ -52,6 +52,9 @@
 	Ready bool `json:"ready"`
 	// HeartbeatSeq increases with each write.
 	HeartbeatSeq int64 `json:"beat"`
+	// MixedUntil holds until when several software versions of a service count as serving, in
+	// milliseconds since the Unix epoch. Daemons that start read it.
+	MixedUntil map[string]int64 `json:"mixed-until,omitempty"`
 }
 
 // leaseHolder returns the name under which this process of the daemon holds leases.
@@ -170,11 +173,11 @@
 }
 
 // nextHeartbeat returns this daemon's row for the next write.
-func (members *members) nextHeartbeat(ready bool) member {
+func (members *members) nextHeartbeat(ready bool, mixedUntil map[string]int64) member {
 	members.mutex.Lock()
 	defer members.mutex.Unlock()
 	members.self.HeartbeatSeq++
-	members.self.Ready = ready
+	members.self.Ready, members.self.MixedUntil = ready, mixedUntil
 	return members.self
 }
 
--- a/io/lwtgateway/states.go
+++ b/io/lwtgateway/states.go
@@ -94,6 +94,9 @@
 	// AnnouncedSinceMilliseconds is since how many milliseconds the daemon has announced each
 	// change of the servers, or 0 if it does not reach the store.
 	AnnouncedSinceMilliseconds int64 `cbor:"16,keyasint,omitempty"`
+	// MixedServices holds the services of which the daemon knows servers of several software
+	// versions.
+	MixedServices []string `cbor:"17,keyasint,omitempty"`
 }
 
 // withReachablePeriod returns the state with the period in which the daemon reached the
@@ -268,6 +271,7 @@
 		ServersDigest: gateway.view.digest(), EntryAddress: gateway.settings.EntryAddress,
 		PeerAddress: gateway.settings.PeerAddress, AvailabilityZone: gateway.settings.AvailabilityZone,
 		QuarantineDigest: gateway.view.quarantineDigest(now), StoreEra: gateway.storeEra.Load(),
+		MixedServices: gateway.view.mixedServices(now),
 	}
 	state.HoldsOrderLease, state.EnginesChangingStage = gateway.orderSender.state()
 	if reachable, known := gateway.storeReachablePeriod(now); known {
@@ -294,6 +298,7 @@
 		gateway.recordReachablePeriod(reachable, state.Name)
 	}
 	gateway.observeEra(state.StoreEra)
+	gateway.view.observeMixed(state.MixedServices, reportedAt.Add(mixedReportTTL))
 	if state.HoldsOrderLease {
 		gateway.view.setEnginesChangingStage(state.EnginesChangingStage)
 	}
--- a/io/lwtgateway/view.go
+++ b/io/lwtgateway/view.go
@@ -1,6 +1,7 @@
 package lwtgateway
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	"lacewingtide/core/lwtretry"
 	"lacewingtide/core/lwtroutetable"
 	"lacewingtide/core/lwtsendlimit"
+	"lacewingtide/core/lwtstreamversion"
 	"lacewingtide/platform"
 )
 
@@ -35,6 +37,7 @@
 	retryBudgets  map[string]*lwtretry.SharedBudget
 	limiter       *lwtsendlimit.Limiter
 	quarantine    *lwtquarantine.Quarantine
+	streams       *lwtstreamversion.Table
 	byID          map[string]lwtdiscovery.Server
 	byAddress     map[string]lwtdiscovery.Server
 	serversDigest uint64
@@ -50,6 +53,7 @@
 		placementOptions: placementOptions, retryLimits: retryLimits, daemonCount: 1,
 		enginePools: map[string]*lwtqueueplacement.EnginePool{}, serverPools: map[string]*lwtqueueplacement.ServerPool{},
 		retryBudgets: map[string]*lwtretry.SharedBudget{}, limiter: limiter, quarantine: lwtquarantine.New(self),
+		streams: lwtstreamversion.New(),
 	}
 }
 
@@ -138,17 +142,19 @@
 	view.serversDigest = view.serverSet.Digest()
 	for _, name := range view.config.ServiceNames() {
 		service, _ := view.config.Service(name)
+		servers := view.serversLocked(name)
+		view.setVersionsLocked(time.Now(), name, servers)
 		if service.Engine == nil {
 			if view.serverPools[name] == nil {
 				view.serverPools[name] = lwtqueueplacement.NewServerPool(view.placementOptions)
 			}
-			view.serverPools[name].SetServers(view.serversLocked(name))
+			view.serverPools[name].SetServers(servers)
 			continue
 		}
 		if view.enginePools[name] == nil {
 			view.enginePools[name] = lwtqueueplacement.NewEnginePool(view.placementOptions)
 		}
-		view.enginePools[name].SetServers(*service.Engine, view.serversLocked(name))
+		view.enginePools[name].SetServers(*service.Engine, servers)
 	}
 }
 
@@ -249,10 +255,25 @@
 	if !found {
 		return target{}, &lwtqueueplacement.Rejection{Reason: "unknown-service", RetryAfter: defaultRetryAfter}
 	}
-	server, rejection := serverPool.Place(now, request.Excluded, rand.IntN(1<<16))
+	server, rejection := serverPool.Place(now, view.excludedLocked(service, request), rand.IntN(1<<16))
 	return target{server: server}, rejection
 }
 
+// excludedLocked returns the ids of the servers that can't run a request: those that have failed it
+// and, for a stream that goes on, those of other software versions.
+func (view *view) excludedLocked(service string, request lwtqueueplacement.PlacementRequest) map[string]bool {
+	if !request.VersionFixed {
+		return request.Excluded
+	}
+	excluded := maps.Clone(request.Excluded)
+	for _, server := range view.serversLocked(service) {
+		if server.Version != request.Version {
+			excluded[server.ID] = true
+		}
+	}
+	return excluded
+}
+
 // defaultRetryAfter is the Retry-After time of rejections that are not based on load: there
 // is no configuration, the service is unknown, or the daemon is shutting down.
 const defaultRetryAfter = 500 * time.Millisecond
