Prefill and decode a request on engines of one software version

Further, the planner of stages could leave a version without an engine that decodes, so that its streams cannot go on though several of its engines serve.

Change: placement compares the best pair of engines of each version, and the engine that decodes is chosen again within the version of the one that prefilled. The planner first gives both stages to each version with several engines, then takes engines from the version that has the most of a stage; during a release it plans while new engines are still settling.

Evidence: TestKVCacheStaysWithinAVersion, TestVersionWithoutDecodeEngineGetsNoPrompt and TestEachVersionKeepsBothStages (5 of 6 fleets) fail before.

--- a/core/lwtprefillratio/prefillratio.go
+++ b/core/lwtprefillratio/prefillratio.go
@@ -8,6 +8,8 @@
 package lwtprefillratio
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -73,11 +75,15 @@
 
 // Plan returns the stage changes to send now. Servers lists all engines of the service; busy
 // says that they have requests in flight. There are no changes until all engines have been
-// listed for settleTime.
+// listed for settleTime, or most of them during a release, when new ones come all the time.
 func (planner *Planner) Plan(now time.Time, servers []lwtdiscovery.Server, busy bool) []StageChange {
 	planner.observe(now, servers)
-	engines, all := planner.settledEngines(now, servers)
-	if len(engines) < minDecodeEngines+1 || len(engines) < all {
+	engines, settled := planner.plannedEngines(now, servers)
+	required := len(engines)
+	if len(byVersion(engines)) > 1 {
+		required = (len(engines) + 1) / 2
+	}
+	if len(engines) < minDecodeEngines+1 || settled < required {
 		return nil
 	}
 	return planner.planChanges(now, engines, desiredDecodeEngines(engines), busy)
@@ -122,21 +128,25 @@
 	}
 }
 
-// settledEngines returns the engines that have been listed for settleTime, and the number of
-// all engines. Draining servers and those without a stage do not count.
-func (planner *Planner) settledEngines(
+// plannedEngines returns the engines that have a stage and are not draining, and how many of them have
+// been listed for settleTime.
+func (planner *Planner) plannedEngines(
 	now time.Time, servers []lwtdiscovery.Server,
-) (engines []lwtdiscovery.Server, all int) {
+) (engines []lwtdiscovery.Server, settled int) {
 	for _, server := range servers {
 		if server.Draining || server.Stage == lwtdiscovery.NoStage {
 			continue
 		}
-		all++
-		if now.Sub(planner.firstSeen[server.ID]) >= settleTime {
-			engines = append(engines, server)
+		engines = append(engines, server)
+		if planner.settled(now, server) {
+			settled++
 		}
 	}
-	return engines, all
+	return engines, settled
+}
+
+func (planner *Planner) settled(now time.Time, engine lwtdiscovery.Server) bool {
+	return now.Sub(planner.firstSeen[engine.ID]) >= settleTime
 }
 
 // targetStage returns the stage that an engine is changing to, or else has.
@@ -160,32 +170,77 @@
 	return min(max(int(math.Round(share*count)), minDecodeEngines), len(engines)-1)
 }
 
-// planChanges returns the changes that lead to the desired number of decode engines. It takes
-// engines first from the availability zone that has most engines of the stage they leave.
+// planChanges returns the changes that lead to the desired number of decode engines, and to both
+// stages within each software version.
 func (planner *Planner) planChanges(
 	now time.Time, engines []lwtdiscovery.Server, desired int, busy bool,
-) []StageChange {
-	var changes []StageChange
-	changing := len(planner.pending)
-	for changing < max(int(maxChangingShare*float64(len(engines))), 1) || !busy {
-		from, to := lwtdiscovery.Prefill, lwtdiscovery.Decode
-		difference := desired - planner.countStage(engines, changes, lwtdiscovery.Decode)
-		if busy && difference >= -maxDecodeSurplus && difference < 0 {
-			return changes
+) (changes []StageChange) {
+	for changing := len(planner.pending); changing < max(int(maxChangingShare*float64(len(engines))), 1) || !busy; changing++ {
+		to := planner.missingStage(engines, changes)
+		if to.stage == lwtdiscovery.NoStage {
+			to.stage = planner.stageToAdd(engines, changes, desired, busy)
 		}
-		if difference < 0 {
-			from, to = to, from
+		if to.stage == lwtdiscovery.NoStage {
+			return changes
 		}
-		engine, found := planner.chooseEngine(now, engines, changes, from)
-		if difference == 0 || !found {
+		engine, found := planner.chooseEngine(now, engines, changes, to)
+		if !found {
 			return changes
 		}
-		changes = append(changes, StageChange{Server: engine, Stage: to})
-		changing++
+		changes = append(changes, StageChange{Server: engine, Stage: to.stage})
 	}
 	return changes
 }
 
+// wantedStage is a stage that an engine is to change to, in any software version or in one.
+type wantedStage struct {
+	stage     lwtdiscovery.Stage
+	version   string
+	ofVersion bool
+}
+
+// stageToAdd returns the stage that too few engines have, or NoStage.
+func (planner *Planner) stageToAdd(
+	engines []lwtdiscovery.Server, changes []StageChange, desired int, busy bool,
+) lwtdiscovery.Stage {
+	difference := desired - planner.countStage(engines, changes, lwtdiscovery.Decode)
+	switch {
+	case difference > 0:
+		return lwtdiscovery.Decode
+	case difference == 0, busy && difference >= -maxDecodeSurplus:
+		return lwtdiscovery.NoStage
+	}
+	return lwtdiscovery.Prefill
+}
+
+// missingStage returns a stage that no engine of a software version has, if the version has several
+// engines and is not the only one: a request is prefilled and decoded by engines of one version.
+func (planner *Planner) missingStage(engines []lwtdiscovery.Server, changes []StageChange) wantedStage {
+	versions := byVersion(engines)
+	if len(versions) < 2 {
+		return wantedStage{}
+	}
+	for _, version := range slices.Sorted(maps.Keys(versions)) {
+		decode := planner.countStage(versions[version], changes, lwtdiscovery.Decode)
+		switch {
+		case len(versions[version]) < 2:
+		case decode == 0:
+			return wantedStage{stage: lwtdiscovery.Decode, version: version, ofVersion: true}
+		case decode == len(versions[version]):
+			return wantedStage{stage: lwtdiscovery.Prefill, version: version, ofVersion: true}
+		}
+	}
+	return wantedStage{}
+}
+
+func byVersion(engines []lwtdiscovery.Server) map[string][]lwtdiscovery.Server {
+	versions := map[string][]lwtdiscovery.Server{}
+	for _, engine := range engines {
+		versions[engine.Version] = append(versions[engine.Version], engine)
+	}
+	return versions
+}
+
 // countStage returns how many engines have a stage after the changes.
 func (planner *Planner) countStage(engines []lwtdiscovery.Server, changes []StageChange, stage lwtdiscovery.Stage) int {
 	count := 0
@@ -206,19 +261,27 @@
 	return planner.targetStage(engine)
 }
 
-// chooseEngine chooses the engine that leaves a stage. It reports false if none may change now.
+// chooseEngine chooses the engine that changes to a stage: of the software version, and then of the
+// availability zone, in which most engines have another one. It reports false if none may change now.
 func (planner *Planner) chooseEngine(
-	now time.Time, engines []lwtdiscovery.Server, changes []StageChange, from lwtdiscovery.Stage,
+	now time.Time, engines []lwtdiscovery.Server, changes []StageChange, to wantedStage,
 ) (lwtdiscovery.Server, bool) {
-	zoneCounts := map[string]int{}
+	from := lwtdiscovery.Decode
+	if to.stage == lwtdiscovery.Decode {
+		from = lwtdiscovery.Prefill
+	}
+	zoneCounts, versionShares := map[string]int{}, map[string]float64{}
+	for version, ofVersion := range byVersion(engines) {
+		versionShares[version] = float64(planner.countStage(ofVersion, changes, from)) / float64(len(ofVersion))
+	}
 	var candidates []lwtdiscovery.Server
 	for _, engine := range engines {
-		if planner.plannedStage(engine, changes) != from {
+		if planner.plannedStage(engine, changes) != from || to.ofVersion && engine.Version != to.version {
 			continue
 		}
 		zoneCounts[engine.AvailabilityZone]++
 		_, isPending := planner.pending[engine.ID]
-		if !isPending && engine.Stage == from && now.Sub(planner.changedAt[engine.ID]) >= minDwell {
+		if !isPending && engine.Stage == from && planner.settled(now, engine) && now.Sub(planner.changedAt[engine.ID]) >= minDwell {
 			candidates = append(candidates, engine)
 		}
 	}
@@ -226,9 +289,7 @@
 		return lwtdiscovery.Server{}, false
 	}
 	return slices.MinFunc(candidates, func(a, b lwtdiscovery.Server) int {
-		if difference := zoneCounts[b.AvailabilityZone] - zoneCounts[a.AvailabilityZone]; difference != 0 {
-			return difference
-		}
-		return strings.Compare(a.ID, b.ID)
+		return cmp.Or(cmp.Compare(versionShares[b.Version], versionShares[a.Version]),
+			cmp.Compare(zoneCounts[b.AvailabilityZone], zoneCounts[a.AvailabilityZone]), strings.Compare(a.ID, b.ID))
 	}), true
 }
--- a/core/lwtprefillratio/prefillratio_test.go
+++ b/core/lwtprefillratio/prefillratio_test.go
@@ -162,3 +162,40 @@
 		}
 	}
 }
+
+// TestEachVersionKeepsBothStages guards against a software version with several engines none of which decodes, so that its streams can't go on, or none of which prefills.
+func TestEachVersionKeepsBothStages(t *testing.T) {
+	for _, stages := range []struct{ v1Prefill, v1Decode, v2Prefill, v2Decode int }{
+		{6, 0, 2, 4}, {8, 0, 0, 4}, {2, 0, 5, 5}, {0, 6, 6, 0}, {4, 2, 4, 2}, {3, 1, 8, 0},
+	} {
+		var servers []lwtdiscovery.Server
+		add := func(version string, stage lwtdiscovery.Stage, count int) {
+			for range count {
+				servers = append(servers, lwtdiscovery.Server{
+					ID: fmt.Sprintf("e%02d", len(servers)), AvailabilityZone: fmt.Sprint("z", len(servers)%3), Stage: stage, Version: version,
+				})
+			}
+		}
+		add("v1", lwtdiscovery.Prefill, stages.v1Prefill)
+		add("v1", lwtdiscovery.Decode, stages.v1Decode)
+		add("v2", lwtdiscovery.Prefill, stages.v2Prefill)
+		add("v2", lwtdiscovery.Decode, stages.v2Decode)
+		planner, now := lwtprefillratio.New(), start
+		for range 6 {
+			applyChanges(planner, now, servers, planner.Plan(now, servers, true))
+			now = now.Add(6 * time.Second)
+		}
+		counts := map[string]int{}
+		for _, server := range servers {
+			counts[server.Version+" "+string(server.Stage)]++
+		}
+		for _, version := range []string{"v1", "v2"} {
+			if counts[version+" decode"] == 0 || counts[version+" prefill"] == 0 {
+				t.Errorf("stages %+v: engines after 36 s: %v", stages, counts)
+			}
+		}
+		if decode := counts["v1 decode"] + counts["v2 decode"]; decode < 3 || decode > 6 {
+			t.Errorf("stages %+v: %d of %d engines decode, want 3 to 6", stages, decode, len(servers))
+		}
+	}
+}
--- a/core/lwtqueueplacement/placement.go
+++ b/core/lwtqueueplacement/placement.go
@@ -27,6 +27,8 @@
 	enginesByID map[string]*engine
 	// engines holds the engines sorted by id.
 	engines []*engine
+	// versions holds the software versions of the engines, sorted.
+	versions []string
 	// prefillSecondsPerToken is the estimated time in which a prefill engine prefills one
 	// token, in seconds.
 	prefillSecondsPerToken float64
@@ -51,8 +53,11 @@
 func (enginePool *EnginePool) SetServers(spec lwtroutetable.EngineSpec, servers []lwtdiscovery.Server) {
 	enginePool.spec = spec
 	engines := map[string]*engine{}
-	enginePool.engines = enginePool.engines[:0]
+	enginePool.engines, enginePool.versions = enginePool.engines[:0], enginePool.versions[:0]
 	for _, server := range servers {
+		if !slices.Contains(enginePool.versions, server.Version) {
+			enginePool.versions = append(enginePool.versions, server.Version)
+		}
 		pooled, found := enginePool.enginesByID[server.ID]
 		if !found || !pooled.server.SameIncarnation(server) {
 			pooled = &engine{hash: hash(server.ID), prefixSentAt: map[uint64]time.Time{}}
@@ -62,6 +67,7 @@
 		enginePool.engines = append(enginePool.engines, pooled)
 	}
 	enginePool.enginesByID = engines
+	slices.Sort(enginePool.versions)
 	slices.SortFunc(enginePool.engines, func(a, b *engine) int {
 		if a.server.ID < b.server.ID {
 			return -1
@@ -86,6 +92,22 @@
 	// PrefillOverflow reports whether a decode engine prefills the prompt because all prefill
 	// engines are full.
 	PrefillOverflow bool
+	// cost ranks placements of the same request on engines of different software versions.
+	cost placementCost
+}
+
+// placementCost is the cost of a placement: that of the prefill and, if it is the same, the number of
+// requests on the decode engine.
+type placementCost struct {
+	prefill time.Duration
+	running int
+}
+
+func (cost placementCost) less(other placementCost) bool {
+	if cost.prefill != other.prefill {
+		return cost.prefill < other.prefill
+	}
+	return cost.running < other.running
 }
 
 // PlacementRequest is a request to be placed.
@@ -114,10 +136,33 @@
 	RetryAfter time.Duration
 }
 
-// Place chooses the engines of a request. If it rejects the request, the placement is the
-// best one that was found, or zero.
+// Place chooses the engines of a request, all of one software version: what one version writes, an
+// engine of another one can't read. If it rejects the request, the placement is the best one that was
+// found, or zero.
 func (enginePool *EnginePool) Place(now time.Time, request PlacementRequest) (Placement, *Rejection) {
-	decodeEngine := enginePool.chooseInitialDecode(now, request)
+	if request.KVCacheHolder.ID != "" {
+		request.Version, request.VersionFixed = request.KVCacheHolder.Version, true
+	}
+	if request.VersionFixed || len(enginePool.versions) < 2 {
+		return enginePool.placeWithinVersion(now, request)
+	}
+	var best Placement
+	var rejection *Rejection
+	for i, version := range enginePool.versions {
+		request.Version, request.VersionFixed = version, true
+		placement, rejected := enginePool.placeWithinVersion(now, request)
+		better := rejected == nil && (rejection != nil || placement.cost.less(best.cost)) ||
+			rejected != nil && rejection != nil && rejected.RetryAfter < rejection.RetryAfter
+		if i == 0 || better {
+			best, rejection = placement, rejected
+		}
+	}
+	return best, rejection
+}
+
+// placeWithinVersion is Place for engines that request allows, which have the same version.
+func (enginePool *EnginePool) placeWithinVersion(now time.Time, request PlacementRequest) (Placement, *Rejection) {
+	decodeEngine, running := enginePool.chooseInitialDecode(now, request)
 	if decodeEngine == nil {
 		return Placement{}, enginePool.rejectWithoutEngine(now, lwtdiscovery.Decode, "no-decode-engine")
 	}
@@ -131,11 +176,13 @@
 	}
 	uncached := enginePool.prefillTime(request.Request.PromptTokens)
 	if request.SingleEngine || decodePrefillFactor*uncached <= maxSingleEnginePrefillTime {
-		return Placement{Decode: decodeEngine.server, PrefillTime: decodePrefillFactor * uncached}, nil
+		return Placement{
+			Decode: decodeEngine.server, PrefillTime: decodePrefillFactor * uncached, cost: placementCost{running: running},
+		}, nil
 	}
 	prefillEngine, placement := enginePool.choosePrefillEngine(now, request, lwtdiscovery.Prefill)
 	if prefillEngine != nil && enginePool.rejectIfLate(request, placement) == nil {
-		placement.Decode = decodeEngine.server
+		placement.Decode, placement.cost.running = decodeEngine.server, running
 		return placement, nil
 	}
 	return enginePool.prefillOnDecodeEngine(now, request, placement)
@@ -247,7 +294,10 @@
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = engine, cost
-			placement = Placement{Prefill: engine.server, PrefillTime: prefillTime, QueueTime: queueTime, PrefixCached: cached}
+			placement = Placement{
+				Prefill: engine.server, PrefillTime: prefillTime, QueueTime: queueTime, PrefixCached: cached,
+				cost: placementCost{prefill: cost},
+			}
 		}
 	}
 	return best, placement
@@ -308,16 +358,17 @@
 
 // chooseInitialDecode chooses the least loaded decode engine, with a preference for the
 // daemon's availability zone.
-func (enginePool *EnginePool) chooseInitialDecode(now time.Time, request PlacementRequest) *engine {
+func (enginePool *EnginePool) chooseInitialDecode(now time.Time, request PlacementRequest) (best *engine, running int) {
 	return enginePool.leastLoadedDecodeEngine(now, request, enginePool.options.AvailabilityZone)
 }
 
 // ChooseDecode chooses the decode engine again after the prefill, which takes longer than most
 // decodes, so that other engines may have become free. It prefers the availability zone of the
-// prefill engine, because a KV cache transfer between zones takes twice as long. If no engine
-// is usable, the placement is unchanged.
+// prefill engine, because a KV cache transfer between zones takes twice as long, and has its software
+// version. If no engine is usable, the placement is unchanged.
 func (enginePool *EnginePool) ChooseDecode(now time.Time, request PlacementRequest, placement Placement) Placement {
-	if decodeEngine := enginePool.leastLoadedDecodeEngine(now, request,
+	request.Version, request.VersionFixed = placement.Prefill.Version, true
+	if decodeEngine, _ := enginePool.leastLoadedDecodeEngine(now, request,
 		placement.Prefill.AvailabilityZone); decodeEngine != nil {
 		placement.Decode = decodeEngine.server
 	}
@@ -329,10 +380,10 @@
 const crossZonePenalty = 3
 
 // leastLoadedDecodeEngine returns the usable engine for decode with the fewest running
-// requests, or nil. Engines outside of zone count crossZonePenalty more.
-func (enginePool *EnginePool) leastLoadedDecodeEngine(now time.Time, request PlacementRequest, zone string) *engine {
-	var best *engine
-	bestRunning := 0
+// requests, or nil, and their number. Engines outside of zone count crossZonePenalty more.
+func (enginePool *EnginePool) leastLoadedDecodeEngine(
+	now time.Time, request PlacementRequest, zone string,
+) (best *engine, bestRunning int) {
 	for _, engine := range enginePool.engines {
 		if engine.server.Stage == lwtdiscovery.Prefill || !enginePool.usable(now, engine, request) {
 			continue
@@ -348,5 +399,5 @@
 			best, bestRunning = engine, running
 		}
 	}
-	return best
+	return best, bestRunning
 }
--- /dev/null
+++ b/core/lwtqueueplacement/version_test.go
@@ -0,0 +1,105 @@
+package lwtqueueplacement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lacewingtide/core/lwtdiscovery"
+	"lacewingtide/core/lwtqueueplacement"
+	"lacewingtide/core/lwtroutetable"
+)
+
+// mixedPool returns a pool of engines with two software versions. The counts are of engines that
+// prefill and decode, by version.
+func mixedPool(prefill, decode map[string]int) *lwtqueueplacement.EnginePool {
+	var servers []lwtdiscovery.Server
+	for _, version := range []string{"v1", "v2"} {
+		for _, server := range engineServers(prefill[version], decode[version]) {
+			server.ID, server.Version = version+"-"+server.ID, version
+			servers = append(servers, server)
+		}
+	}
+	pool := lwtqueueplacement.NewEnginePool(lwtqueueplacement.Options{
+		AvailabilityZone: "z0", PrefillTimePerToken: 3 * time.Microsecond,
+	})
+	pool.SetServers(engineSpec, servers)
+	return pool
+}
+
+// TestKVCacheStaysWithinAVersion guards against a KV cache that one software version has written and another one reads.
+func TestKVCacheStaysWithinAVersion(t *testing.T) {
+	for _, counts := range []struct{ prefill, decode map[string]int }{
+		{map[string]int{"v1": 4, "v2": 4}, map[string]int{"v1": 2, "v2": 2}},
+		{map[string]int{"v1": 7, "v2": 1}, map[string]int{"v1": 1, "v2": 3}},
+		{map[string]int{"v1": 8}, map[string]int{"v1": 2, "v2": 2}},
+	} {
+		pool := mixedPool(counts.prefill, counts.decode)
+		used := map[string]int{}
+		for i := range 200 {
+			request := placementRequest(longPrompt(i))
+			placement, rejection := pool.Place(start, request)
+			if rejection != nil {
+				t.Fatalf("prefill %v, decode %v: rejected: %+v", counts.prefill, counts.decode, rejection)
+			}
+			placement = pool.ChooseDecode(start, request, placement)
+			if placement.Prefill.Version != placement.Decode.Version {
+				t.Fatalf("prefill %v, decode %v: %s hands over to %s", counts.prefill, counts.decode, placement.Prefill.ID, placement.Decode.ID)
+			}
+			used[placement.Prefill.Version]++
+			pool.DecodeStarted(placement.Decode.ID)
+			pool.DecodeEnded(placement.Decode.ID)
+		}
+		for version, count := range counts.prefill {
+			if used[version] < 10 && counts.decode[version] > 0 {
+				t.Errorf("prefill %v, decode %v: version %s with %d engines has prefilled %d of 200 prompts",
+					counts.prefill, counts.decode, version, count, used[version])
+			}
+		}
+	}
+}
+
+// TestVersionWithoutDecodeEngineGetsNoPrompt guards against prompts that are prefilled by engines of a version of which none decodes.
+func TestVersionWithoutDecodeEngineGetsNoPrompt(t *testing.T) {
+	pool := mixedPool(map[string]int{"v1": 6, "v2": 2}, map[string]int{"v2": 2})
+	for i := range 50 {
+		placement, rejection := pool.Place(start, placementRequest(longPrompt(i)))
+		if rejection != nil || placement.Prefill.Version == "v1" || placement.Decode.Version != "v2" {
+			t.Fatalf("placement %+v, rejection %+v, want engines of v2", placement, rejection)
+		}
+	}
+}
+
+// TestStreamIsPlacedAtItsVersion guards against a stream that goes on at engines of another version, for a short prompt as well as a long one.
+func TestStreamIsPlacedAtItsVersion(t *testing.T) {
+	pool := mixedPool(map[string]int{"v1": 2, "v2": 2}, map[string]int{"v1": 1, "v2": 3})
+	for i := range 40 {
+		for _, request := range []lwtroutetable.Request{longPrompt(i), {PromptTokens: 100}} {
+			version := fmt.Sprint("v", 1+i%2)
+			placing := placementRequest(request)
+			placing.Version, placing.VersionFixed = version, true
+			placement, rejection := pool.Place(start, placing)
+			if rejection != nil {
+				t.Fatalf("rejected: %+v", rejection)
+			}
+			placement = pool.ChooseDecode(start, placing, placement)
+			if placement.Decode.Version != version || placement.Prefill.ID != "" && placement.Prefill.Version != version {
+				t.Errorf("a stream of %s is placed on %s and %s", version, placement.Prefill.ID, placement.Decode.ID)
+			}
+		}
+	}
+}
+
+// TestChatsUseAllVersions guards against short prompts that go to one version only.
+func TestChatsUseAllVersions(t *testing.T) {
+	pool := mixedPool(map[string]int{"v1": 2, "v2": 2}, map[string]int{"v1": 2, "v2": 2})
+	used := map[string]int{}
+	for range 40 {
+		placement, _ := pool.Place(start, placementRequest(lwtroutetable.Request{PromptTokens: 100}))
+		pool.DecodeStarted(placement.Decode.ID)
+		used[placement.Decode.ID]++
+	}
+	if len(used) != 4 {
+		t.Errorf("chats by decode engine: %v, want all 4", used)
+	}
+}
