Never send a request twice on one connection

Here a late copy with the request's own id could be read as the response to a further attempt of the same request: a connection was refused for that only while no other request had used it in between. A refusal without an id, and one of another request, were told apart already (TestLateRefusal).

The connections that have carried a request are kept with its call now, and none of them carries it again. TestLateCopyOfARefusalAfterAnotherRequest fails before (statuses 503, 200, 503 on one connection). The test before it checks the same as it did, by connection instead of by id.

--- a/io/lwtgateway/attempt.go
+++ b/io/lwtgateway/attempt.go
@@ -134,10 +134,11 @@
 func (call *call) roundTrip(
 	server lwtdiscovery.Server, maxIdle time.Duration, head []byte, signed bool,
 ) (*lwthttp.Response, lwtretry.Outcome, error) {
-	conn, err := call.gateway.connPool.Get(call.context, server.Address, call.request.ID, maxIdle)
+	conn, err := call.gateway.connPool.Get(call.context, server.Address, call.usedConns, maxIdle)
 	if err != nil {
 		return nil, lwtretry.NotSent, err
 	}
+	call.usedConns = append(call.usedConns, conn)
 	match := func(header *fasthttp.ResponseHeader) lwthttp.ResponseMatch {
 		return call.matchResponse(header, signed, conn.Reused)
 	}
--- a/io/lwtgateway/call.go
+++ b/io/lwtgateway/call.go
@@ -33,6 +33,8 @@
 	// target holds the servers of the current attempt.
 	target          target
 	excludedServers map[string]bool
+	// usedConns holds the connections that have carried the request.
+	usedConns []*lwthttp.Conn
 	// kvHandle identifies the KV cache that a prefill engine holds for this request.
 	kvHandle string
 	response *lwthttp.Response
--- a/io/lwthttp/http_test.go
+++ b/io/lwthttp/http_test.go
@@ -162,7 +162,7 @@
 // send sends a request. Responses whose Id header is not id count as stale.
 func send(t *testing.T, pool *lwthttp.Pool, address, id string) (status int, body string, err error) {
 	t.Helper()
-	conn, err := pool.Get(context.Background(), address, "", time.Minute)
+	conn, err := pool.Get(context.Background(), address, nil, time.Minute)
 	if err != nil {
 		return 0, "", err
 	}
@@ -218,7 +218,7 @@
 		ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n",
 	} {
 		address := backend(t, text+closing)
-		conn, err := pool().Get(context.Background(), address, "", time.Minute)
+		conn, err := pool().Get(context.Background(), address, nil, time.Minute)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -271,11 +271,11 @@
 	address := backend(t)
 	pool := pool()
 	for range 4 {
-		if _, err := pool.Get(context.Background(), address, "", time.Minute); err != nil {
+		if _, err := pool.Get(context.Background(), address, nil, time.Minute); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if _, err := pool.Get(context.Background(), address, "", time.Minute); !errors.Is(err, lwthttp.ErrTooManyConnections) ||
+	if _, err := pool.Get(context.Background(), address, nil, time.Minute); !errors.Is(err, lwthttp.ErrTooManyConnections) ||
 		!errors.Is(err, lwthttp.ErrNotSent) {
 		t.Errorf("fifth connection: error %v, want ErrTooManyConnections and ErrNotSent", err)
 	}
@@ -305,7 +305,7 @@
 	}()
 	pool, body := pool(), bytes.Repeat([]byte("x"), 8<<20)
 	for range 2 {
-		conn, err := pool.Get(context.Background(), listener.Addr().String(), "", time.Minute)
+		conn, err := pool.Get(context.Background(), listener.Addr().String(), nil, time.Minute)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/io/lwthttp/pool.go
+++ b/io/lwthttp/pool.go
@@ -56,40 +56,34 @@
 	keepAlive time.Duration
 	// Reused says that the connection has carried an earlier request.
 	Reused bool
-	// lastRequestID is the ID of the last request that the connection has carried.
-	lastRequestID string
 }
 
 // Get returns a connection to an address for a request: one that has been idle for at most
-// maxIdle or, if there is none, a new one. A connection that has carried an earlier attempt of
-// the same request is not used, because a late duplicate of that attempt's response would have
-// the same request ID.
-func (pool *Pool) Get(ctx context.Context, address, requestID string, maxIdle time.Duration) (*Conn, error) {
+// maxIdle or, if there is none, a new one. Used holds the connections that have carried an earlier
+// attempt of the same request. They are not taken again, because a late duplicate of that attempt's
+// response would have the same request ID, whatever else they have carried since.
+func (pool *Pool) Get(ctx context.Context, address string, used []*Conn, maxIdle time.Duration) (*Conn, error) {
 	for {
-		conn := pool.takeIdle(address, requestID)
+		conn := pool.takeIdle(address, used)
 		if conn == nil {
-			conn, err := pool.Dial(ctx, address)
-			if err == nil {
-				conn.lastRequestID = requestID
-			}
-			return conn, err
+			return pool.Dial(ctx, address)
 		}
 		if idleTime := time.Since(conn.idleSince); idleTime <= min(maxIdle, conn.keepAlive) && isOpenAndIdle(conn.conn) {
-			conn.Reused, conn.lastRequestID = true, requestID
+			conn.Reused = true
 			return conn, nil
 		}
 		conn.Close()
 	}
 }
 
-// takeIdle removes and returns the most recently used idle connection whose last request is
-// not requestID, or returns nil if there is none.
-func (pool *Pool) takeIdle(address, requestID string) *Conn {
+// takeIdle removes and returns the idle connection that was used last, other than those in used, or
+// returns nil if there is none.
+func (pool *Pool) takeIdle(address string, used []*Conn) *Conn {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	idle := pool.idle[address]
 	for at := len(idle) - 1; at >= 0; at-- {
-		if conn := idle[at]; conn.lastRequestID != requestID {
+		if conn := idle[at]; !slices.Contains(used, conn) {
 			pool.idle[address] = slices.Delete(idle, at, at+1)
 			return conn
 		}
--- a/io/lwthttp/trouble_test.go
+++ b/io/lwthttp/trouble_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -69,16 +70,16 @@
 	// The second copy is sent when the next request arrives.
 	address := backend(t, rejection, rejection+ok+"Content-Length: 2\r\n\r\nhi")
 	pool := pool()
-	conns := map[*lwthttp.Conn]bool{}
+	var used []*lwthttp.Conn
 	for range 2 {
-		conn, err := pool.Get(context.Background(), address, "1", time.Minute)
+		conn, err := pool.Get(context.Background(), address, used, time.Minute)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if conns[conn] {
+		if slices.Contains(used, conn) {
 			t.Fatal("connection reused for a second attempt of the same request")
 		}
-		conns[conn] = true
+		used = append(used, conn)
 		head := []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 		response, err := conn.RoundTrip(context.Background(), head, nil, time.Now().Add(time.Second), anyAnswer)
 		if err != nil {
@@ -87,11 +88,38 @@
 		_, _ = response.ReadAll(100)
 		response.Release(time.Now())
 	}
-	if conn, err := pool.Get(context.Background(), address, "2", time.Minute); err != nil || !conns[conn] {
+	if conn, err := pool.Get(context.Background(), address, nil, time.Minute); err != nil || !slices.Contains(used, conn) {
 		t.Errorf("open connection not reused for another request, error %v", err)
 	}
 }
 
+// TestLateCopyOfARefusalAfterAnotherRequest guards against a late duplicate of a rejection that is read as the response to a further attempt of the same request, because another one used the connection in between.
+func TestLateCopyOfARefusalAfterAnotherRequest(t *testing.T) {
+	rejection := "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nContent-Length: 0\r\n\r\n"
+	address := backend(t, rejection, ok+"Content-Length: 2\r\n\r\nhi", rejection+ok+"Content-Length: 2\r\n\r\nhi")
+	pool := pool()
+	var statuses []int
+	used := map[string][]*lwthttp.Conn{}
+	for _, id := range []string{"1", "2", "1"} {
+		conn, err := pool.Get(context.Background(), address, used[id], time.Minute)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := conn.RoundTrip(context.Background(), []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"), nil,
+			time.Now().Add(time.Second), anyAnswer)
+		if err != nil {
+			t.Fatal(err)
+		}
+		used[id] = append(used[id], conn)
+		statuses = append(statuses, response.Header.StatusCode())
+		_, _ = response.ReadAll(100)
+		response.Release(time.Now())
+		if id == "1" && len(statuses) == 3 && conn.Reused {
+			t.Errorf("statuses %v: the third request is the first one again, and has its connection", statuses)
+		}
+	}
+}
+
 // TestEndlessStrayAnswer guards against a stale response without a size limit that is read until
 // the deadline.
 func TestEndlessStrayAnswer(t *testing.T) {
