Pass on only what continues a stream after its last event

Here a response with status 500 was kept out already, with a length or without. A page with status 200 was passed on into the stream, which then looked complete, and so was a stream that began anew at its first event.

A response that resumes a stream must be a stream of events as well, and its first event must come after the last one that the caller has, as far as their ids are numbers; else it counts as broken off.

--- a/io/lwtgateway/deliver.go
+++ b/io/lwtgateway/deliver.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -55,7 +56,7 @@
 
 func (call *call) forwardResponse() any {
 	status := call.response.Header.StatusCode()
-	if call.exchange.ResponseBegun() && status != fasthttp.StatusOK {
+	if call.exchange.ResponseBegun() && (status != fasthttp.StatusOK || !call.isEventStream()) {
 		return lwtrequestflow.Failed{Outcome: lwtretry.Unknown, PartiallyDelivered: true, Reason: "resume-failed"}
 	}
 	if call.route.Streaming && status == fasthttp.StatusOK {
@@ -140,15 +141,9 @@
 			completeLength = len(pending)
 		}
 		if completeLength > 0 {
-			if call.attemptEvents == 0 {
-				call.firstEventAt = time.Now()
-			}
-			call.attemptEvents += countEvents(pending[:completeLength])
-			if forwarded += completeLength; call.exceedsLimits(forwarded) {
-				return call.deliveryFailure(errResponseTooLong, lastID)
-			}
-			if !call.writeEvents(pending[:completeLength]) {
-				return lwtrequestflow.CallerDisconnected{}
+			forwarded += completeLength
+			if failure := call.forwardCompleteEvents(pending[:completeLength], forwarded, lastID); failure != nil {
+				return failure
 			}
 			lastID = lastEventID(pending[:completeLength], lastID)
 			pending = append(pending[:0], pending[completeLength:]...)
@@ -166,6 +161,26 @@
 	}
 }
 
+// forwardCompleteEvents forwards complete events. It returns the result of the delivery if this fails,
+// otherwise nil. Forwarded is the number of bytes of the response including these, lastID the ID of the
+// last event before.
+func (call *call) forwardCompleteEvents(events []byte, forwarded int, lastID string) any {
+	if call.attemptEvents == 0 {
+		if !followsEvent(firstEventID(events), call.flow.LastEventID()) {
+			return call.deliveryFailure(errEventRepeated, lastID)
+		}
+		call.firstEventAt = time.Now()
+	}
+	call.attemptEvents += countEvents(events)
+	if call.exceedsLimits(forwarded) {
+		return call.deliveryFailure(errResponseTooLong, lastID)
+	}
+	if !call.writeEvents(events) {
+		return lwtrequestflow.CallerDisconnected{}
+	}
+	return nil
+}
+
 // errEndInsideEvent reports a stream of events that ended inside an event. The server has broken it
 // off, whatever its framing says.
 var errEndInsideEvent = fmt.Errorf("stream ended inside an event")
@@ -230,6 +245,30 @@
 	return call.exchange.Write(events) == nil
 }
 
+// errEventRepeated reports a response that does not go on after the last event of the stream.
+var errEventRepeated = fmt.Errorf("stream goes on at an event that its caller has already received")
+
+// followsEvent reports whether an event with an ID may follow one with the ID previous. IDs that are not
+// numbers tell nothing.
+func followsEvent(id, previous string) bool {
+	number, err := strconv.ParseUint(id, 10, 64)
+	if err != nil {
+		return true
+	}
+	previousNumber, err := strconv.ParseUint(previous, 10, 64)
+	return err != nil || number > previousNumber
+}
+
+// firstEventID returns the ID of the first event that has one, or "".
+func firstEventID(events []byte) string {
+	for line := range bytes.Lines(events) {
+		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
+			return string(bytes.TrimSpace(value))
+		}
+	}
+	return ""
+}
+
 // lastEventID returns the ID of the last event that has one, or previous if none has.
 func lastEventID(events []byte, previous string) string {
 	last := previous
