Reject streams of others at a daemon that is cut off from all

A daemon that was cut off from the store and from the other daemons before a release began went on with streams that callers took up there at the one version that it knew, whatever had begun them (ORDER, which holds for machines that are not in touch as well).

Cause: that no second version is known was taken for knowledge that there is none. Ruled out: the store's silence alone, which excuses nothing, and for which daemons still hear of servers from each other.

Change: a daemon that read the servers 2 s ago or longer, and has heard from none of the others that it knows for as long, rejects a stream that it does not know, as it does during a release. Streams that it began itself go on.

--- a/io/lwtgateway/members.go
+++ b/io/lwtgateway/members.go
@@ -81,10 +81,15 @@
 	return memberSilenceTimeout
 }
 
+// inContact reports whether the daemon's last message is recent.
+func (knownMember knownMember) inContact(now time.Time) bool {
+	return !knownMember.lastContact.IsZero() && now.Sub(knownMember.lastContact) < knownMember.silenceTimeout()
+}
+
 // live reports whether the daemon is considered live: its last message is recent, or its row
 // has changed recently and was written after its messages stopped.
 func (knownMember knownMember) live(now time.Time) bool {
-	if !knownMember.lastContact.IsZero() && now.Sub(knownMember.lastContact) < knownMember.silenceTimeout() {
+	if knownMember.inContact(now) {
 		return true
 	}
 	silent := knownMember.lastContact.IsZero() ||
@@ -167,6 +172,18 @@
 	return count
 }
 
+// isolated reports whether there are other daemons, and none has been in contact recently.
+func (members *members) isolated(now time.Time) bool {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	for _, knownMember := range members.others {
+		if knownMember.inContact(now) {
+			return false
+		}
+	}
+	return len(members.others) > 0
+}
+
 // memberWriteInterval returns the time between two writes of a daemon's row.
 func memberWriteInterval(daemons int) time.Duration {
 	return min(max(minMemberInterval*time.Duration(daemons)/smallFleetDaemons, minMemberInterval), maxMemberInterval)
--- a/io/lwtgateway/streams.go
+++ b/io/lwtgateway/streams.go
@@ -48,6 +48,8 @@
 	unknownStreamRetryAfter = 500 * time.Millisecond
 	// mixedReportTTL is how long another daemon's report that several versions serve holds.
 	mixedReportTTL = 2 * time.Second
+	// versionsTTL is how long a daemon that is isolated relies on the servers that it knows.
+	versionsTTL = 2 * time.Second
 )
 
 // streamWaiters holds the callers that wait to know what began their stream. It is safe for
@@ -283,6 +285,12 @@
 	}
 }
 
+// mayMissVersion reports whether another software version may serve of which this daemon has not
+// heard, because it is cut off from the store and the others, or was frozen.
+func (gateway *Gateway) mayMissVersion(now time.Time) bool {
+	return now.Sub(time.Unix(0, gateway.serversCoveredUntil.Load())) >= versionsTTL && gateway.members.isolated(now)
+}
+
 // setVersionsLocked tells the table of streams which software versions of a service serve.
 func (view *view) setVersionsLocked(now time.Time, service string, servers []lwtdiscovery.Server) {
 	serving := map[string]bool{}
@@ -304,7 +312,7 @@
 		call.service, call.version, call.versionFixed = stream.Service, stream.Version, true
 	case found:
 		// The route leads to another service now, whose versions are others.
-	case call.gateway.view.mixed(time.Now(), call.service):
+	case call.gateway.view.mixed(time.Now(), call.service), call.gateway.mayMissVersion(time.Now()):
 		call.versionUnknown = true
 	}
 }
