Tell daemons of leaving servers that have missed the announcement

Found by reading for it: what a response says of a leaving server is announced once. A daemon that the message does not reach (a full queue, a connection that is dialed anew, as all are when the key changes), or that joins later, notices that its servers differ from its relay's, and reads the store every 0.7 s, which does not know of it. Callers' requests go on to the leaving server until one is answered at that daemon.

Change: a daemon whose peer reports another digest of the servers sends it the servers that have announced in a response that they leave, once a second at most, if there are any. Two daemons that differ for another reason exchange some bytes.

The quarantine is sent in the same way; both use one function for the interval now.

--- a/core/lwtdiscovery/discovery.go
+++ b/core/lwtdiscovery/discovery.go
@@ -190,6 +190,16 @@
 	return next, changed
 }
 
+// ReportedDraining returns the listed servers that announced in a response that they are draining.
+func (serverSet ServerSet) ReportedDraining() (servers []Server) {
+	for id, started := range serverSet.reportedDraining {
+		if server, listed := serverSet.servers[id]; listed && server.StartTime.Equal(started) {
+			servers = append(servers, server)
+		}
+	}
+	return servers
+}
+
 // maxReportedDraining is the size of reportedDraining at which servers that are not listed are
 // removed from it. Until then they are kept, because their entries may reappear after an outage
 // of the store.
--- a/io/lwtgateway/exchange.go
+++ b/io/lwtgateway/exchange.go
@@ -65,8 +65,8 @@
 	ownReporter   lwtqueueplacement.LoadReporter
 	groupReporter lwtqueueplacement.LoadReporter
 	states        stateTable
-	// quarantineSentAt holds when the whole quarantine was last sent to a daemon.
-	quarantineSentAt map[string]time.Time
+	// syncedAt holds, by daemon, when all that this daemon knows was last sent to it.
+	syncedAt map[syncedKind]map[string]time.Time
 	lastRelayMessage time.Time
 }
 
@@ -75,10 +75,36 @@
 		reportSignal: make(chan struct{}, 1), avoidedUntil: map[string]time.Time{},
 		subscribers: map[string]time.Time{}, peerRelays: map[string]time.Time{},
 		subscriberLoads: lwtloadrelay.NewCollector(), groupLoads: lwtloadrelay.NewCollector(), states: newStateTable(),
-		quarantineSentAt: map[string]time.Time{},
+		syncedAt: map[syncedKind]map[string]time.Time{syncedQuarantine: {}, syncedDraining: {}},
 	}
 }
 
+// syncedKind is a kind of knowledge of which daemons send each other all that they have if it differs.
+type syncedKind int
+
+const (
+	syncedQuarantine syncedKind = iota
+	syncedDraining
+)
+
+// syncInterval is the minimum time between two messages with all that is known of a kind to the same
+// daemon.
+const syncInterval = time.Second
+
+// syncDue reports whether all that this daemon knows of a kind may be sent to another one now, and if
+// so records that it is.
+func (loadExchange *loadExchange) syncDue(now time.Time, daemon string, kind syncedKind) bool {
+	loadExchange.mutex.Lock()
+	defer loadExchange.mutex.Unlock()
+	sentAt := loadExchange.syncedAt[kind]
+	if now.Sub(sentAt[daemon]) < syncInterval {
+		return false
+	}
+	deleteOlder(now, sentAt, syncInterval)
+	sentAt[daemon] = now
+	return true
+}
+
 // reportSoon makes awaitNextReport return before the regular interval has passed.
 func (loadExchange *loadExchange) reportSoon() {
 	select {
--- a/io/lwtgateway/quarantine.go
+++ b/io/lwtgateway/quarantine.go
@@ -203,14 +203,10 @@
 	return entries
 }
 
-// quarantineSyncInterval is the minimum time between two messages with the whole quarantine to the
-// same daemon.
-const quarantineSyncInterval = time.Second
-
 // syncQuarantine sends the whole quarantine to a daemon whose own differs. Digest is that of the
 // other daemon. Each of two such daemons does so, so that both hold what either knows.
 func (gateway *Gateway) syncQuarantine(now time.Time, daemon string, digest uint64) {
-	if digest == gateway.view.quarantineDigest(now) || !gateway.loadExchange.quarantineSyncDue(now, daemon) {
+	if digest == gateway.view.quarantineDigest(now) || !gateway.loadExchange.syncDue(now, daemon, syncedQuarantine) {
 		return
 	}
 	network, entries := gateway.loadExchange.peerNetwork(), gateway.view.quarantineEntries(now)
@@ -226,16 +222,3 @@
 		lwtlog.Info(gateway.logger, "quarantine-not-sent", "daemon", daemon, "err", err)
 	}
 }
-
-// quarantineSyncDue reports whether the whole quarantine may be sent to a daemon now, and if so
-// records that it is.
-func (loadExchange *loadExchange) quarantineSyncDue(now time.Time, daemon string) bool {
-	loadExchange.mutex.Lock()
-	defer loadExchange.mutex.Unlock()
-	if now.Sub(loadExchange.quarantineSentAt[daemon]) < quarantineSyncInterval {
-		return false
-	}
-	deleteOlder(now, loadExchange.quarantineSentAt, quarantineSyncInterval)
-	loadExchange.quarantineSentAt[daemon] = now
-	return true
-}
--- a/io/lwtgateway/server_responses.go
+++ b/io/lwtgateway/server_responses.go
@@ -54,6 +54,26 @@
 	})
 }
 
+// syncDraining sends all servers whose responses say that they are draining to a daemon whose servers
+// differ. It may have missed the announcement, or have joined since. Digest is that of its servers.
+func (gateway *Gateway) syncDraining(now time.Time, daemon string, digest uint64) {
+	if digest == gateway.view.digest() {
+		return
+	}
+	var message serverMessage
+	for _, server := range gateway.view.reportedDraining() {
+		message.Draining = append(message.Draining, drainingServer{ID: server.ID, StartedUnixMilli: server.StartTime.UnixMilli()})
+	}
+	network := gateway.loadExchange.peerNetwork()
+	if network == nil || len(message.Draining) == 0 || !gateway.loadExchange.syncDue(now, daemon, syncedDraining) {
+		return
+	}
+	gateway.metrics.Count("draining-synced")
+	if err := network.Send(daemon, serversKind, message); err != nil {
+		lwtlog.Info(gateway.logger, "draining-not-sent", "daemon", daemon, "err", err)
+	}
+}
+
 // applyDraining marks servers as draining and returns those that were not yet marked.
 func (gateway *Gateway) applyDraining(daemon string, servers []drainingServer) (updated []drainingServer) {
 	for _, server := range servers {
--- a/io/lwtgateway/server_updates.go
+++ b/io/lwtgateway/server_updates.go
@@ -90,7 +90,8 @@
 	if network == nil || len(recipients) == 0 {
 		return
 	}
-	// A daemon that misses the message detects it by comparing server digests.
+	// A daemon that misses the message detects it by comparing server digests, and hears of leaving
+	// servers again from those whose digest differs.
 	dropped, err := network.Multicast(recipients, serversKind, message)
 	if err != nil {
 		lwtlog.Warn(gateway.logger, "servers-not-encoded", "err", err)
--- a/io/lwtgateway/states.go
+++ b/io/lwtgateway/states.go
@@ -307,5 +307,6 @@
 	}
 	if state.Name == from.Name {
 		gateway.syncQuarantine(now, from.Name, state.QuarantineDigest)
+		gateway.syncDraining(now, from.Name, state.ServersDigest)
 	}
 }
--- a/io/lwtgateway/view.go
+++ b/io/lwtgateway/view.go
@@ -116,6 +116,13 @@
 	return changed
 }
 
+// reportedDraining returns the servers whose responses say that they are draining.
+func (view *view) reportedDraining() []lwtdiscovery.Server {
+	view.mutex.Lock()
+	defer view.mutex.Unlock()
+	return view.serverSet.ReportedDraining()
+}
+
 // servers returns the backend servers of a service.
 func (view *view) servers(service string) []lwtdiscovery.Server {
 	view.mutex.Lock()
