--- a/io/lwtgateway/exchange.go
+++ b/io/lwtgateway/exchange.go
@@ -66,7 +66,7 @@
 	groupReporter lwtqueueplacement.LoadReporter
 	states        stateTable
 	// syncedAt holds, by daemon, when all that this daemon knows was last sent to it.
-	syncedAt map[syncedKind]map[string]time.Time
+	syncedAt         map[syncedKind]map[string]time.Time
 	lastRelayMessage time.Time
 }
 
