Show streams that go on at another version across a partition

Two daemons of four are cut off together from the store and the others while a release begins. Clients take streams of the new version up there, and they go on at the old one.

--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -179,6 +179,27 @@
         body = json.dumps(content).encode()
         writer.write(answer(status, [("Content-Type", "application/json"), ("Store-Era", "1")], body))
 
+    async def listener_for(self, network, daemon_name):
+        """Starts an address of the store for one daemon, whose path to it can be cut, and whose paths to other
+        daemons lead over links that can be cut."""
+
+        async def handle(head, body, reader, writer):
+            if network.cut_off(daemon_name):
+                await network.healed.wait()
+                return False
+            captured = Captured(writer)
+            await self.handle(head, body, reader, captured)
+            if network.cut_off(daemon_name):
+                await network.healed.wait()
+                return False
+            writer.write(await network.with_links(daemon_name, head, captured.written))
+            await writer.drain()
+            return True
+
+        listener = Listener(handle)
+        await listener.start()
+        return listener
+
     async def handle(self, head, body, reader, writer):
         await asyncio.sleep(self.CALL_S)
         method, target, _ = head.first.split(" ")
@@ -239,6 +260,90 @@
             self.respond(writer, 200, {"rows": [], "rowVersion": self.version, "nowMs": now_ms()})
 
 
+class Captured:
+    """Keeps what a handler writes."""
+
+    def __init__(self, writer):
+        self.writer, self.written = writer, b""
+
+    def write(self, content):
+        self.written += content
+
+    async def drain(self):
+        pass
+
+
+class Network:
+    """The network between daemons: a link for each pair, which a partition cuts. A daemon learns the addresses of
+    the others from the store, and there gets those of its links. While a link is cut, it delivers nothing."""
+
+    def __init__(self, record):
+        self.record, self.links, self.apart = record, {}, frozenset()
+        self.healed = asyncio.Event()
+        self.healed.set()
+        self.open = asyncio.Event()
+
+    def cut_off(self, name):
+        return name in self.apart
+
+    def is_cut(self, one, other):
+        return (one in self.apart) != (other in self.apart)
+
+    def split(self, names):
+        self.record.line("partition: %s are cut off from the store and from the other daemons" % ", ".join(sorted(names)))
+        self.apart = frozenset(names)
+        self.healed.clear()
+
+    def heal(self):
+        self.record.line("the partition heals")
+        self.apart = frozenset()
+        self.healed.set()
+
+    async def with_links(self, viewer, head, response):
+        """Replaces the addresses of other daemons in a read of their rows by those of the viewer's links."""
+        if "table=daemons" not in head.first or "rows-get" not in head.first:
+            return response
+        start, _, body = response.partition(b"\r\n\r\n")
+        content = json.loads(body)
+        for row in content.get("rows", []):
+            value = json.loads(base64.b64decode(row["value"]))
+            if value["name"] != viewer:
+                value["peer"] = await self.link(viewer, value["name"], value["peer"])
+                row["value"] = base64.b64encode(json.dumps(value).encode()).decode()
+        return answer(200, [("Content-Type", "application/json"), ("Store-Era", "1")], json.dumps(content).encode())
+
+    async def link(self, source, target, address):
+        if (source, target) not in self.links:
+            host, port = free_address()
+            self.links[source, target] = "%s:%d" % (host, port)
+
+            async def accept(reader, writer):
+                await self.open.wait()
+                await self.healed.wait() if self.is_cut(source, target) else None
+                target_host, target_port = address.split(":")
+                try:
+                    to_reader, to_writer = await asyncio.open_connection(target_host, int(target_port))
+                except OSError:
+                    writer.close()
+                    return
+                await asyncio.gather(self.pump(source, target, reader, to_writer), self.pump(source, target, to_reader, writer))
+
+            await asyncio.start_server(accept, host, port)
+        return self.links[source, target]
+
+    async def pump(self, source, target, reader, writer):
+        try:
+            while content := await reader.read(65536):
+                if self.is_cut(source, target):
+                    await self.healed.wait()
+                writer.write(content)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            pass
+        finally:
+            writer.close()
+
+
 def now_ms():
     return int(time.monotonic() * 1000)
 
@@ -413,7 +518,7 @@
 class Daemon:
     """One process of the system, started with the deploy file's command."""
 
-    def __init__(self, world, name, zone):
+    def __init__(self, world, name, zone, store_address):
         self.world, self.name, self.zone, self.process = world, name, zone, None
         self.started_at = 0.0
         host, _ = free_address()
@@ -423,7 +528,7 @@
             "listen": {"frontend": "%s:%d" % (host, ports[0]), "readiness": "%s:%d" % (host, ports[1]),
                        "directory": "%s:%d" % (host, ports[2])},
             "portRange": [ports[3], ports[4]],
-            "platform": {"address": world.store.listener.address, "writesPerS": 400, "readsPerS": 2000},
+            "platform": {"address": store_address, "writesPerS": 400, "readsPerS": 2000},
             "limits": {"memoryMb": 414, "maxFds": 6150}, "bounds": BOUNDS,
         }
         self.path = os.path.join(world.directory, name + ".settings")
@@ -526,7 +631,18 @@
     def add_daemons(self, count):
         zones = ["zone-a", "zone-a", "zone-b", "zone-c"]
         for number in range(count):
-            self.daemons.append(Daemon(self, "edge-%s-%d" % (zones[number % 4], number + 1), zones[number % 4]))
+            zone = zones[number % 4]
+            self.daemons.append(Daemon(self, "edge-%s-%d" % (zone, number + 1), zone, self.store.listener.address))
+
+    async def add_daemons_with_network(self, count):
+        """Adds daemons that reach each other and the store over paths that a partition cuts."""
+        self.network = Network(self.record)
+        zones = ["zone-a", "zone-a", "zone-b", "zone-c"]
+        for number in range(count):
+            zone = zones[number % 4]
+            name = "edge-%s-%d" % (zone, number + 1)
+            listener = await self.store.listener_for(self.network, name)
+            self.daemons.append(Daemon(self, name, zone, listener.address))
 
     async def until_ready(self, daemons, limit_s=10):
         deadline = time.monotonic() + limit_s
