--- a/review/1/run.py
+++ b/review/1/run.py
@@ -9,6 +9,7 @@
 
 STREAMS = 24
 CUT_S = 5.5  # core_cut, how = split, for_s = 5.5
+RELEASE_GAP_S = 1.0  # release, x = 1, gap_s = 1.0
 ALLOWED = 2  # "More than two streams"
 APART = int(os.environ.get("APART", "2"))  # 2 of 4 daemons are cut off together
 
@@ -36,10 +37,11 @@
         world.record.line("release: %s (v2) has started, %s (v1) drains" % (new, old))
         world.servers[old].state = "draining"
         await world.servers[old].beat()
-    await asyncio.sleep(1.5)
+        await asyncio.sleep(RELEASE_GAP_S)
+    await asyncio.sleep(0.5)
     drop = asyncio.Event()
     streams = [asyncio.create_task(one_stream(world, rest[number % 2], apart[number // 2 % APART], drop)) for number in range(STREAMS)]
-    await asyncio.sleep(1.5)
+    await asyncio.sleep(1.2)
     drop.set()
     await asyncio.sleep(max(0, CUT_S - (world.record.now() - cut_at)))
     if TROUBLE:
