--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -599,8 +599,8 @@
 class World:
     """A small deployment: the store, servers and daemons."""
 
-    def __init__(self, case_directory):
-        self.record = Record(os.path.join(case_directory, "record.txt"))
+    def __init__(self, record_path):
+        self.record = Record(record_path)
         self.temporary = tempfile.TemporaryDirectory()
         self.directory = self.temporary.name
         self.tasks, self.servers, self.daemons = [], {}, []
@@ -781,13 +781,13 @@
 
 def run_case(case, limit_s=110):
     """Runs a case: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
-    directory = os.environ["CASE_DIRECTORY"]
+    record_path = os.environ["RECORD"]
     code = 2
     world = None
 
     async def main():
         nonlocal world
-        world = World(directory)
+        world = World(record_path)
         world.record.line("TROUBLE=%d" % TROUBLE)
         await world.start_store()
         return await asyncio.wait_for(case(world), limit_s)
