Decide by a read of the store whether another version can have begun a stream

Cause: a daemon that does not know a stream took the one version it had heard of for the only one, unless it had read no servers for 2 s and had no contact with any daemon. Contact with a daemon that is cut off too satisfied that, and evidence was allowed to be 2 s older than the stream.

Ruled out: the age of the servers' list alone.

Change: the daemon asks the others; if none knows the stream, it reads the servers and the daemons' rows in a read that starts after the request has arrived. A server is listed before it serves, so the read shows the version that began the stream. Without such a read the request is rejected as not run. The reads are shared and bounded.

--- a/core/lwtstreamversion/script_test.go
+++ b/core/lwtstreamversion/script_test.go
@@ -25,7 +25,9 @@
 //	end REQUEST
 //	report                             all that are due
 //	find REQUEST => VERSION|unknown
+//	observe-version VERSION            in the store, or of a stream
 //	mixed => yes|no
+//	only => VERSION|none
 //	mixed-for => DURATION|none
 //	due => REQUEST,...|none
 type script struct {
@@ -65,6 +67,13 @@
 		if stream, found := script.table.Find(script.now, lwtstreamversion.KeyOf(words[1])); found {
 			got = stream.Version
 		}
+	case "observe-version":
+		script.table.ObserveVersion(script.now, service, words[1])
+	case "only":
+		got = "none"
+		if version, only := script.table.OnlyVersion(script.now, service); only {
+			got = version
+		}
 	case "mixed":
 		got = map[bool]string{true: "yes", false: "no"}[script.table.Mixed(script.now, service)]
 	case "mixed-for":
--- a/core/lwtstreamversion/streamversion.go
+++ b/core/lwtstreamversion/streamversion.go
@@ -107,6 +107,27 @@
 	}
 }
 
+// ObserveVersion notes that a version of a service serves or has begun a stream, though SetVersions may
+// not name it yet.
+func (table *Table) ObserveVersion(now time.Time, service, version string) {
+	if versions := table.service(service); !versions.serving[version] {
+		versions.left[version] = now
+	}
+}
+
+// OnlyVersion returns the version of a service that has served, if it is the only one known.
+func (table *Table) OnlyVersion(now time.Time, service string) (version string, only bool) {
+	versions, found := table.services[service]
+	if !found || now.Before(versions.reportedMixed) {
+		return "", false
+	}
+	recent := versions.recent(now, table.retention)
+	if len(recent) != 1 {
+		return "", false
+	}
+	return recent[0], true
+}
+
 // Mixed reports whether servers of several versions of a service serve, or did within the time that
 // a stream may last.
 func (table *Table) Mixed(now time.Time, service string) bool {
@@ -115,13 +136,18 @@
 }
 
 func (versions *serviceVersions) ownMixed(now time.Time, retention time.Duration) bool {
-	count := len(versions.serving)
+	return len(versions.recent(now, retention)) > 1
+}
+
+// recent returns the versions that serve, or did within the time that a stream may last.
+func (versions *serviceVersions) recent(now time.Time, retention time.Duration) []string {
+	recent := slices.Collect(maps.Keys(versions.serving))
 	for version, at := range versions.left {
 		if !versions.serving[version] && now.Sub(at) < retention {
-			count++
+			recent = append(recent, version)
 		}
 	}
-	return count > 1
+	return recent
 }
 
 // MixedServices returns the services of which this daemon itself knows several versions, sorted.
--- a/io/lwtgateway/gateway.go
+++ b/io/lwtgateway/gateway.go
@@ -46,6 +46,8 @@
 	crashDetector  *crashDetector
 	quarantineRows *quarantineRows
 	streamWaiters  *streamWaiters
+	// versionsRead reads the software versions of the servers from the store.
+	versionsRead *sharedRead
 
 	// serverRows holds the newest row seen of each server, by row key. It is guarded by the mutex
 	// of view.
@@ -115,6 +117,7 @@
 	gateway.crashDetector = newCrashDetector(gateway)
 	gateway.quarantineRows = newQuarantineRows()
 	gateway.streamWaiters = newStreamWaiters()
+	gateway.versionsRead = newSharedRead(versionsReadInterval, gateway.readVersions)
 	return gateway, nil
 }
 
--- a/io/lwtgateway/members.go
+++ b/io/lwtgateway/members.go
@@ -172,18 +172,6 @@
 	return count
 }
 
-// isolated reports whether there are other daemons, and none has been in contact recently.
-func (members *members) isolated(now time.Time) bool {
-	members.mutex.Lock()
-	defer members.mutex.Unlock()
-	for _, knownMember := range members.others {
-		if knownMember.inContact(now) {
-			return false
-		}
-	}
-	return len(members.others) > 0
-}
-
 // memberWriteInterval returns the time between two writes of a daemon's row.
 func memberWriteInterval(daemons int) time.Duration {
 	return min(max(minMemberInterval*time.Duration(daemons)/smallFleetDaemons, minMemberInterval), maxMemberInterval)
--- a/io/lwtgateway/streams.go
+++ b/io/lwtgateway/streams.go
@@ -48,8 +48,6 @@
 	unknownStreamRetryAfter = 500 * time.Millisecond
 	// mixedReportTTL is how long another daemon's report that several versions serve holds.
 	mixedReportTTL = 2 * time.Second
-	// versionsTTL is how long a daemon that is isolated relies on the servers that it knows.
-	versionsTTL = 2 * time.Second
 )
 
 // streamWaiters holds the callers that wait to know what began their stream. It is safe for
@@ -85,15 +83,15 @@
 }
 
 // findStream returns the stream that a request resumes, if this daemon knows it or another one
-// answers in time. It asks others only while several versions serve: before, any server will do.
+// answers in time.
 func (gateway *Gateway) findStream(
-	ctx context.Context, service string, request lwtroutetable.Request,
+	ctx context.Context, request lwtroutetable.Request,
 ) (stream lwtstreamversion.Stream, found bool) {
 	if request.BegunBy == "" {
 		return stream, false
 	}
 	key := lwtstreamversion.KeyOf(request.BegunBy)
-	if stream, found = gateway.view.findStream(time.Now(), key); found || !gateway.view.mixed(time.Now(), service) {
+	if stream, found = gateway.view.findStream(time.Now(), key); found {
 		return stream, found
 	}
 	answered := gateway.streamWaiters.wait(key)
@@ -257,14 +255,6 @@
 	}
 }
 
-// mixed reports whether several software versions of a service serve, or did within the time that a
-// stream may last.
-func (view *view) mixed(now time.Time, service string) bool {
-	view.mutex.Lock()
-	defer view.mutex.Unlock()
-	return view.streams.Mixed(now, service)
-}
-
 func (view *view) mixedServices(now time.Time) []string {
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
@@ -285,12 +275,6 @@
 	}
 }
 
-// mayMissVersion reports whether another software version may serve of which this daemon has not
-// heard, because it is cut off from the store and the others, or was frozen.
-func (gateway *Gateway) mayMissVersion(now time.Time) bool {
-	return now.Sub(time.Unix(0, gateway.serversCoveredUntil.Load())) >= versionsTTL && gateway.members.isolated(now)
-}
-
 // setVersionsLocked tells the table of streams which software versions of a service serve.
 func (view *view) setVersionsLocked(now time.Time, service string, servers []lwtdiscovery.Server) {
 	serving := map[string]bool{}
@@ -306,14 +290,16 @@
 	if !call.route.Streaming || call.request.LastEventID == "" {
 		return
 	}
-	stream, found := call.gateway.findStream(call.exchange.Context(), call.service, call.request)
+	ctx, gateway := call.exchange.Context(), call.gateway
+	stream, found := gateway.findStream(ctx, call.request)
 	switch {
 	case found && call.route.HasTarget(stream.Service):
 		call.service, call.version, call.versionFixed = stream.Service, stream.Version, true
 	case found:
 		// The route leads to another service now, whose versions are others.
-	case call.gateway.view.mixed(time.Now(), call.service), call.gateway.mayMissVersion(time.Now()):
-		call.versionUnknown = true
+	default:
+		call.version, call.versionFixed = gateway.onlyVersion(ctx, call.service, call.exchange.Arrived)
+		call.versionUnknown = !call.versionFixed
 	}
 }
 
