Read the daemons' rows before the first write replaces one

Cause: which versions have served stands in the daemons' rows, which a daemon read once at its start. If that failed, its first write replaced the row of the process before all the same.

Ruled out: rows that were never written; the daemons had written theirs.

Change: the first read is repeated until the store answers, and no row is written before. A second version of a service is written at once.

--- a/io/lwtgateway/gateway.go
+++ b/io/lwtgateway/gateway.go
@@ -63,6 +63,8 @@
 	// serversCoveredUntil is until when all changes of the servers were read by this daemon, or by
 	// daemons that announce them, without a gap, in nanoseconds since the Unix epoch.
 	serversCoveredUntil atomic.Int64
+	// memberRowsAdopted says that the daemons' rows have been read once.
+	memberRowsAdopted atomic.Bool
 	// storeEra is the highest known era of the store, 0 before the first response. eraChanged has an
 	// element if it has risen after that.
 	storeEra   atomic.Int64
--- a/io/lwtgateway/member_rows.go
+++ b/io/lwtgateway/member_rows.go
@@ -10,10 +10,10 @@
 )
 
 // followMembers periodically writes this daemon's row and reads the rows of all others,
-// until ctx is canceled. It reads first, because the row of its process before is overwritten.
+// until ctx is canceled. It writes at once when several software versions of a service begin to serve.
 func (gateway *Gateway) followMembers(ctx context.Context) error {
-	if rows, err := gateway.readMemberRows(); err == nil {
-		gateway.observeMixedRows(rows)
+	if err := gateway.adoptMemberRows(ctx); err != nil {
+		return err
 	}
 	writtenAt, readAt := time.Time{}, time.Now()
 	var writtenEra int64
@@ -29,7 +29,31 @@
 			_, _ = gateway.readMemberRows()
 			readAt = now
 		}
-		if !sleep(ctx, isolatedReadInterval) {
+		timer := time.NewTimer(isolatedReadInterval)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-gateway.view.mixedServicesChanged:
+			writtenAt = time.Time{}
+		}
+		timer.Stop()
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+	}
+}
+
+// adoptMemberRows reads the daemons' rows for the first time. It retries until the store responds or
+// ctx is canceled: the first write replaces what the process before has written.
+func (gateway *Gateway) adoptMemberRows(ctx context.Context) error {
+	for {
+		rows, err := gateway.readMemberRows()
+		if err == nil {
+			gateway.observeMixedRows(rows)
+			gateway.memberRowsAdopted.Store(true)
+			return nil
+		}
+		if !sleep(ctx, storeRetryDelay) {
 			return ctx.Err()
 		}
 	}
@@ -96,7 +120,11 @@
 	gateway.orderSender.setMembers(live)
 }
 
+// writeMemberRow writes this daemon's row, unless it has not yet read that of the process before.
 func (gateway *Gateway) writeMemberRow() {
+	if !gateway.memberRowsAdopted.Load() {
+		return
+	}
 	mixedUntil := map[string]int64{}
 	for service, until := range gateway.view.mixedUntil(time.Now()) {
 		mixedUntil[service] = until.UnixMilli()
--- a/io/lwtgateway/streams.go
+++ b/io/lwtgateway/streams.go
@@ -261,6 +261,21 @@
 	return view.streams.MixedServices(now)
 }
 
+// signalMixedServicesLocked signals that services have several software versions besides those that had
+// before.
+func (view *view) signalMixedServicesLocked(before []string) {
+	for _, service := range view.streams.MixedServices(time.Now()) {
+		if slices.Contains(before, service) {
+			continue
+		}
+		select {
+		case view.mixedServicesChanged <- struct{}{}:
+		default:
+		}
+		return
+	}
+}
+
 func (view *view) mixedUntil(now time.Time) map[string]time.Time {
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
--- a/io/lwtgateway/view.go
+++ b/io/lwtgateway/view.go
@@ -29,18 +29,21 @@
 	config      lwtroutetable.Config
 	configKnown bool
 	// configRow is the store row of the active configuration.
-	configRow     platform.Row
-	serverSet     lwtdiscovery.ServerSet
-	serversKnown  bool
-	enginePools   map[string]*lwtqueueplacement.EnginePool
-	serverPools   map[string]*lwtqueueplacement.ServerPool
-	retryBudgets  map[string]*lwtretry.SharedBudget
-	limiter       *lwtsendlimit.Limiter
-	quarantine    *lwtquarantine.Quarantine
-	streams       *lwtstreamversion.Table
-	byID          map[string]lwtdiscovery.Server
-	byAddress     map[string]lwtdiscovery.Server
-	serversDigest uint64
+	configRow    platform.Row
+	serverSet    lwtdiscovery.ServerSet
+	serversKnown bool
+	enginePools  map[string]*lwtqueueplacement.EnginePool
+	serverPools  map[string]*lwtqueueplacement.ServerPool
+	retryBudgets map[string]*lwtretry.SharedBudget
+	limiter      *lwtsendlimit.Limiter
+	quarantine   *lwtquarantine.Quarantine
+	streams      *lwtstreamversion.Table
+	// mixedServicesChanged has an element if several software versions of a service have begun to
+	// serve.
+	mixedServicesChanged chan struct{}
+	byID                 map[string]lwtdiscovery.Server
+	byAddress            map[string]lwtdiscovery.Server
+	serversDigest        uint64
 }
 
 // newView returns the view of the daemon with the name self.
@@ -53,7 +56,7 @@
 		placementOptions: placementOptions, retryLimits: retryLimits, daemonCount: 1,
 		enginePools: map[string]*lwtqueueplacement.EnginePool{}, serverPools: map[string]*lwtqueueplacement.ServerPool{},
 		retryBudgets: map[string]*lwtretry.SharedBudget{}, limiter: limiter, quarantine: lwtquarantine.New(self),
-		streams: lwtstreamversion.New(),
+		streams: lwtstreamversion.New(), mixedServicesChanged: make(chan struct{}, 1),
 	}
 }
 
@@ -147,6 +150,7 @@
 		view.byAddress[server.Address] = server
 	}
 	view.serversDigest = view.serverSet.Digest()
+	defer view.signalMixedServicesLocked(view.streams.MixedServices(time.Now()))
 	for _, name := range view.config.ServiceNames() {
 		service, _ := view.config.Service(name)
 		servers := view.serversLocked(name)
