Report a stream's version until each process that holds it has confirmed

Cause: the daemon that began a stream told others twice within a second, and only while several versions served. Daemons that started later, and streams from before the release, were never told of.

Ruled out: daemons that do not ask (stream-asked-for found=false for each), lost messages (none of the processes told was left).

Change: every daemon that knows a stream reports it to the processes that are to hold it until they confirm, and to those that become holders later. While one version serves, streams of 100 ms or more are reported too.

--- a/core/lwtstreamversion/script_test.go
+++ b/core/lwtstreamversion/script_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -23,17 +24,21 @@
 //	begin REQUEST VERSION lifetime=DURATION
 //	observe REQUEST VERSION lifetime=DURATION
 //	end REQUEST
+//	holders NAME:BOOT,...              of all streams
 //	report                             all that are due
+//	confirm REQUEST NAME:BOOT
 //	find REQUEST => VERSION|unknown
 //	observe-version VERSION            in the store, or of a stream
 //	mixed => yes|no
 //	only => VERSION|none
 //	mixed-for => DURATION|none
-//	due => REQUEST,...|none
+//	due => REQUEST,...|none            for any holder
+//	due-for NAME:BOOT => REQUEST,...|none
 type script struct {
-	now   time.Time
-	table *lwtstreamversion.Table
-	names map[lwtstreamversion.Key]string
+	now     time.Time
+	table   *lwtstreamversion.Table
+	names   map[lwtstreamversion.Key]string
+	holders []lwtstreamversion.Holder
 }
 
 func (script *script) line(t *testing.T, line string) {
@@ -55,13 +60,23 @@
 	case "begin":
 		script.table.Begin(script.now, script.stream(t, words))
 	case "observe":
-		script.table.Observe(script.now, script.stream(t, words))
+		script.table.Observe(script.now, script.stream(t, words), script.holders)
 	case "end":
 		script.table.End(lwtstreamversion.KeyOf(words[1]))
+	case "holders":
+		script.holders = nil
+		for _, holder := range strings.Split(words[1], ",") {
+			script.holders = append(script.holders, parseHolder(t, holder))
+		}
+		script.table.ReviewHolders()
 	case "report":
-		for _, stream := range script.table.DueReports(script.now) {
-			script.table.RecordReport(script.now, stream.Key)
+		for holder, streams := range script.dueReports() {
+			for _, stream := range streams {
+				script.table.RecordReport(script.now, stream.Key, holder)
+			}
 		}
+	case "confirm":
+		script.table.Confirm(lwtstreamversion.KeyOf(words[1]), parseHolder(t, words[2]))
 	case "find":
 		got = "unknown"
 		if stream, found := script.table.Find(script.now, lwtstreamversion.KeyOf(words[1])); found {
@@ -82,7 +97,13 @@
 			got = until.Sub(script.now).String()
 		}
 	case "due":
-		got = script.due()
+		var due []lwtstreamversion.Stream
+		for _, streams := range script.dueReports() {
+			due = append(due, streams...)
+		}
+		got = script.list(due)
+	case "due-for":
+		got = script.list(script.dueReports()[parseHolder(t, words[1])])
 	default:
 		t.Fatalf("unknown line %q", line)
 	}
@@ -101,16 +122,30 @@
 	}
 }
 
-func (script *script) due() string {
+func (script *script) dueReports() map[lwtstreamversion.Holder][]lwtstreamversion.Stream {
+	return script.table.DueReports(script.now, func(lwtstreamversion.Key) []lwtstreamversion.Holder { return script.holders })
+}
+
+func (script *script) list(streams []lwtstreamversion.Stream) string {
 	var names []string
-	for _, stream := range script.table.DueReports(script.now) {
+	for _, stream := range streams {
 		names = append(names, script.names[stream.Key])
 	}
 	if len(names) == 0 {
 		return "none"
 	}
 	slices.Sort(names)
-	return strings.Join(names, ",")
+	return strings.Join(slices.Compact(names), ",")
+}
+
+func parseHolder(t *testing.T, text string) lwtstreamversion.Holder {
+	t.Helper()
+	name, number, _ := strings.Cut(text, ":")
+	boot, err := strconv.ParseUint(number, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lwtstreamversion.Holder{Name: name, Boot: boot}
 }
 
 func parseDuration(t *testing.T, text string) time.Duration {
@@ -137,6 +172,7 @@
 			t.Run(section.Name, func(t *testing.T) {
 				script := &script{
 					now: time.Unix(1000, 0), table: lwtstreamversion.New(), names: map[lwtstreamversion.Key]string{},
+					holders: []lwtstreamversion.Holder{{Name: "a", Boot: 1}},
 				}
 				for line := range strings.Lines(string(section.Data)) {
 					if line = strings.TrimSpace(line); line != "" {
--- a/core/lwtstreamversion/streamversion.go
+++ b/core/lwtstreamversion/streamversion.go
@@ -2,7 +2,9 @@
 //
 // Servers of several versions may serve side by side during a release. A stream that is broken off
 // may go on only at the version that began it, also when its caller takes it up at another daemon.
-// Each daemon knows the streams that it has begun, and those that others have reported to it.
+// Each daemon knows the streams that it has begun, and those that others have reported to it. Every
+// daemon that knows a stream reports it to the holders of the stream until they confirm it, and to those
+// that become holders later.
 package lwtstreamversion
 
 import (
@@ -38,15 +40,28 @@
 	// its last server has left.
 	minRetention = 15 * time.Second
 	maxRetention = 10 * time.Minute
-	// A stream is reported to other daemons maxReports times, reportInterval apart: the first
-	// message may be lost, or the daemons that hold the stream may change.
-	maxReports     = 2
+	// reportInterval is the time between two reports of a stream to a holder that has not confirmed it.
 	reportInterval = time.Second
+	// reportDelay is the age at which a stream is first reported while one version serves. Most
+	// streams have ended by then.
+	reportDelay = 100 * time.Millisecond
+	// sweepInterval is the time between two removals of the expired streams.
+	sweepInterval = time.Second
 )
 
+// Holder is a process of a daemon that holds streams which others have begun.
+type Holder struct {
+	Name string
+	// Boot identifies the process.
+	Boot uint64
+}
+
 // Table holds streams and the versions of services. It is not safe for concurrent use.
 type Table struct {
-	streams map[Key]tableEntry
+	streams map[Key]*tableEntry
+	// unconfirmed holds the streams that not all of their holders may know.
+	unconfirmed map[Key]bool
+	sweptAt     time.Time
 	// services holds which versions serve, by service.
 	services map[string]*serviceVersions
 	// retention is how long a stream may last.
@@ -55,11 +70,28 @@
 
 type tableEntry struct {
 	Stream
+	addedAt time.Time
 	// own says that this daemon has begun the stream.
-	own bool
-	// reports is how often it was reported to other daemons, reportedAt when it last was.
-	reports    int
-	reportedAt time.Time
+	own     bool
+	reports []report
+}
+
+// report is what this daemon knows of a holder of a stream.
+type report struct {
+	holder Holder
+	// sentAt is when the stream was last reported to the holder, or zero.
+	sentAt    time.Time
+	confirmed bool
+}
+
+// reportTo returns the report to a holder, or nil.
+func (entry *tableEntry) reportTo(holder Holder) *report {
+	for i := range entry.reports {
+		if entry.reports[i].holder == holder {
+			return &entry.reports[i]
+		}
+	}
+	return nil
 }
 
 type serviceVersions struct {
@@ -72,7 +104,10 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{streams: map[Key]tableEntry{}, services: map[string]*serviceVersions{}, retention: minRetention}
+	return &Table{
+		streams: map[Key]*tableEntry{}, unconfirmed: map[Key]bool{}, services: map[string]*serviceVersions{},
+		retention: minRetention,
+	}
 }
 
 func (table *Table) service(name string) *serviceVersions {
@@ -183,17 +218,27 @@
 		return
 	}
 	table.retention = min(max(table.retention, stream.ExpiresAt.Sub(now)), maxRetention)
-	table.add(now, tableEntry{Stream: stream, own: true})
+	table.add(now, &tableEntry{Stream: stream, addedAt: now, own: true})
 }
 
 // End drops a stream that its caller has received completely.
-func (table *Table) End(key Key) { delete(table.streams, key) }
+func (table *Table) End(key Key) {
+	delete(table.streams, key)
+	delete(table.unconfirmed, key)
+}
 
-// Observe records a stream of which another daemon knows.
-func (table *Table) Observe(now time.Time, stream Stream) {
-	if _, found := table.streams[stream.Key]; !found && now.Before(stream.ExpiresAt) {
-		table.add(now, tableEntry{Stream: stream})
+// Observe records a stream of which another daemon knows. That daemon reports it to the holders, which
+// therefore count as informed.
+func (table *Table) Observe(now time.Time, stream Stream, holders []Holder) {
+	if _, found := table.streams[stream.Key]; found || !now.Before(stream.ExpiresAt) {
+		return
+	}
+	table.ObserveVersion(now, stream.Service, stream.Version)
+	entry := &tableEntry{Stream: stream, addedAt: now}
+	for _, holder := range holders {
+		entry.reports = append(entry.reports, report{holder: holder, confirmed: true})
 	}
+	table.add(now, entry)
 }
 
 // Find returns the stream with a key.
@@ -205,44 +250,98 @@
 	return entry.Stream, true
 }
 
-// DueReports returns the streams that are to be reported to other daemons now, those of services of
-// which several versions serve. It drops the expired ones.
-func (table *Table) DueReports(now time.Time) (streams []Stream) {
-	for key, entry := range table.streams {
-		switch {
-		case !now.Before(entry.ExpiresAt):
-			delete(table.streams, key)
-		case entry.own && entry.reports < maxReports && table.Mixed(now, entry.Service) &&
-			now.Sub(entry.reportedAt) >= reportInterval:
-			streams = append(streams, entry.Stream)
+// ReviewHolders checks all streams again. It is called when the set of holders has changed.
+func (table *Table) ReviewHolders() {
+	for key := range table.streams {
+		table.unconfirmed[key] = true
+	}
+}
+
+// DueReports returns the streams that are to be reported now, by holder. HoldersOf returns the
+// holders of a stream.
+func (table *Table) DueReports(now time.Time, holdersOf func(Key) []Holder) map[Holder][]Stream {
+	table.sweep(now)
+	due := map[Holder][]Stream{}
+	for key := range table.unconfirmed {
+		entry := table.streams[key]
+		if entry.own && now.Sub(entry.addedAt) < reportDelay && !table.Mixed(now, entry.Service) {
+			continue
+		}
+		holders := holdersOf(key)
+		entry.reports = slices.DeleteFunc(entry.reports, func(report report) bool {
+			return !slices.Contains(holders, report.holder)
+		})
+		outstanding := false
+		for _, holder := range holders {
+			report := entry.reportTo(holder)
+			if report != nil && report.confirmed {
+				continue
+			}
+			outstanding = true
+			if report == nil || now.Sub(report.sentAt) >= reportInterval {
+				due[holder] = append(due[holder], entry.Stream)
+			}
+		}
+		if !outstanding && len(holders) > 0 {
+			delete(table.unconfirmed, key)
 		}
 	}
-	return streams
+	return due
 }
 
-// RecordReport records that a stream was reported to other daemons.
-func (table *Table) RecordReport(now time.Time, key Key) {
+// RecordReport records that a stream was sent to a holder.
+func (table *Table) RecordReport(now time.Time, key Key, holder Holder) {
+	entry, found := table.streams[key]
+	if !found {
+		return
+	}
+	if sent := entry.reportTo(holder); sent != nil {
+		sent.sentAt = now
+		return
+	}
+	entry.reports = append(entry.reports, report{holder: holder, sentAt: now})
+}
+
+// Confirm records that a holder knows a stream that was sent to it.
+func (table *Table) Confirm(key Key, holder Holder) {
 	if entry, found := table.streams[key]; found {
-		entry.reports++
-		entry.reportedAt = now
-		table.streams[key] = entry
+		if report := entry.reportTo(holder); report != nil {
+			report.confirmed = true
+		}
+	}
+}
+
+// sweep drops the expired streams, at most once per sweepInterval.
+func (table *Table) sweep(now time.Time) {
+	if now.Sub(table.sweptAt) < sweepInterval {
+		return
+	}
+	table.sweptAt = now
+	table.dropExpired(now)
+}
+
+func (table *Table) dropExpired(now time.Time) {
+	for key, entry := range table.streams {
+		if !now.Before(entry.ExpiresAt) {
+			table.End(key)
+		}
 	}
 }
 
 // add stores an entry. If there are too many, it drops the eighth of them that expires first.
-func (table *Table) add(now time.Time, entry tableEntry) {
-	table.streams[entry.Key] = entry
+func (table *Table) add(now time.Time, entry *tableEntry) {
+	table.streams[entry.Key], table.unconfirmed[entry.Key] = entry, true
 	if len(table.streams) <= maxStreams {
 		return
 	}
-	maps.DeleteFunc(table.streams, func(_ Key, entry tableEntry) bool { return !now.Before(entry.ExpiresAt) })
+	table.dropExpired(now)
 	if len(table.streams) <= maxStreams {
 		return
 	}
-	entries := slices.SortedFunc(maps.Values(table.streams), func(a, b tableEntry) int {
+	entries := slices.SortedFunc(maps.Values(table.streams), func(a, b *tableEntry) int {
 		return cmp.Or(a.ExpiresAt.Compare(b.ExpiresAt), slices.Compare(a.Key[:], b.Key[:]))
 	})
 	for _, dropped := range entries[:len(entries)/8] {
-		delete(table.streams, dropped.Key)
+		table.End(dropped.Key)
 	}
 }
--- a/io/lwtgateway/members.go
+++ b/io/lwtgateway/members.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lacewingtide/core/lwtlease"
+	"lacewingtide/core/lwtstreamversion"
 	"lacewingtide/io/lwtpeer"
 	"lacewingtide/platform"
 )
@@ -172,6 +173,19 @@
 	return count
 }
 
+// streamHolders returns the processes of daemons that are known by these names.
+func (members *members) streamHolders(names []string) []lwtstreamversion.Holder {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	holders := make([]lwtstreamversion.Holder, 0, len(names))
+	for _, name := range names {
+		if knownMember, found := members.others[name]; found {
+			holders = append(holders, lwtstreamversion.Holder{Name: name, Boot: knownMember.Boot})
+		}
+	}
+	return holders
+}
+
 // memberWriteInterval returns the time between two writes of a daemon's row.
 func memberWriteInterval(daemons int) time.Duration {
 	return min(max(minMemberInterval*time.Duration(daemons)/smallFleetDaemons, minMemberInterval), maxMemberInterval)
--- a/io/lwtgateway/streams.go
+++ b/io/lwtgateway/streams.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -22,6 +21,8 @@
 	Streams []streamVersion `cbor:"1,keyasint,omitempty"`
 	// Asked holds the keys of streams that the sender wants to know of.
 	Asked [][]byte `cbor:"2,keyasint,omitempty"`
+	// Held holds the keys of streams that the sender has received.
+	Held [][]byte `cbor:"3,keyasint,omitempty"`
 }
 
 type streamVersion struct {
@@ -138,41 +139,55 @@
 	return len(recipients) - dropped
 }
 
-// reportStreams tells the daemons that hold streams about some.
-func (gateway *Gateway) reportStreams(now time.Time, streams []lwtstreamversion.Stream) {
-	byHolder := map[string][]lwtstreamversion.Stream{}
-	for _, stream := range streams {
-		for _, holder := range gateway.loadExchange.streamHolders(stream.Key, streamHolders) {
-			byHolder[holder] = append(byHolder[holder], stream)
+// reportDueStreams reports the versions of streams to their holders until ctx is canceled.
+func (gateway *Gateway) reportDueStreams(ctx context.Context) error {
+	var known []lwtstreamversion.Holder
+	return runEvery(ctx, streamReportInterval, func(now time.Time) {
+		holders := gateway.possibleStreamHolders()
+		if !slices.Equal(holders, known) {
+			known = holders
+			gateway.view.reviewStreamHolders()
 		}
-	}
-	reported := map[lwtstreamversion.Key]bool{}
-	for holder, held := range byHolder {
-		for part := range slices.Chunk(held, maxReportedStreams) {
-			var message streamsMessage
-			for _, stream := range part {
-				message.Streams = append(message.Streams, encodeStream(now, stream))
-			}
-			if gateway.sendStreams([]string{holder}, message) == 0 {
-				continue
-			}
-			for _, stream := range part {
-				reported[stream.Key] = true
-			}
+		due, sent := gateway.view.dueStreamReports(now, gateway.streamHoldersOf), 0
+		for holder, streams := range due {
+			sent += gateway.reportStreams(now, holder, streams)
 		}
-	}
-	gateway.view.recordStreamReports(now, slices.Collect(maps.Keys(reported)))
+		if len(due) > 0 {
+			lwtlog.Info(gateway.logger, "streams-reported", "holders", len(due), "possible-holders", len(holders), "reports", sent)
+		}
+	})
 }
 
-// reportDueStreams reports new streams while several versions serve, those that were begun before, and
-// those whose report may have been lost, until ctx is canceled.
-func (gateway *Gateway) reportDueStreams(ctx context.Context) error {
-	return runEvery(ctx, streamReportInterval, func(now time.Time) {
-		if streams := gateway.view.dueStreamReports(now); len(streams) > 0 {
-			lwtlog.Info(gateway.logger, "streams-reported", "count", len(streams))
-			gateway.reportStreams(now, streams)
+// reportStreams reports streams to a holder and returns the number that was sent.
+func (gateway *Gateway) reportStreams(
+	now time.Time, holder lwtstreamversion.Holder, streams []lwtstreamversion.Stream,
+) (sent int) {
+	for part := range slices.Chunk(streams, maxReportedStreams) {
+		var message streamsMessage
+		for _, stream := range part {
+			message.Streams = append(message.Streams, encodeStream(now, stream))
 		}
-	})
+		if gateway.sendStreams([]string{holder.Name}, message) == 0 {
+			break
+		}
+		gateway.view.recordStreamReports(now, holder, part)
+		sent += len(part)
+	}
+	return sent
+}
+
+// possibleStreamHolders returns the processes of daemons that may hold streams, other than this one.
+func (gateway *Gateway) possibleStreamHolders() []lwtstreamversion.Holder {
+	loadExchange := gateway.loadExchange
+	loadExchange.mutex.Lock()
+	names := loadExchange.topology.OtherRelays()
+	loadExchange.mutex.Unlock()
+	return gateway.members.streamHolders(names)
+}
+
+// streamHoldersOf returns the processes of daemons that hold a stream.
+func (gateway *Gateway) streamHoldersOf(key lwtstreamversion.Key) []lwtstreamversion.Holder {
+	return gateway.members.streamHolders(gateway.loadExchange.streamHolders(key, streamHolders))
 }
 
 func (gateway *Gateway) handleStreams(from lwtpeer.Identity, body []byte) {
@@ -182,18 +197,22 @@
 		return
 	}
 	now := time.Now()
+	var answer streamsMessage
 	for _, encoded := range message.Streams {
 		stream := encoded.decode(now)
-		gateway.view.observeStream(now, stream)
+		gateway.view.observeStream(now, stream, gateway.streamHoldersOf(stream.Key))
 		gateway.streamWaiters.answer(stream.Key)
+		answer.Held = append(answer.Held, encoded.Key)
+	}
+	for _, held := range message.Held {
+		gateway.view.confirmStream(keyFrom(held), lwtstreamversion.Holder{Name: from.Name, Boot: from.Boot})
 	}
-	var answer streamsMessage
 	for _, asked := range message.Asked {
 		if stream, found := gateway.view.findStream(now, keyFrom(asked)); found {
 			answer.Streams = append(answer.Streams, encodeStream(now, stream))
 		}
 	}
-	if len(answer.Streams) > 0 {
+	if len(answer.Streams) > 0 || len(answer.Held) > 0 {
 		gateway.sendStreams([]string{from.Name}, answer)
 	}
 }
@@ -223,10 +242,24 @@
 	return view.streams.Find(now, key)
 }
 
-func (view *view) observeStream(now time.Time, stream lwtstreamversion.Stream) {
+func (view *view) observeStream(
+	now time.Time, stream lwtstreamversion.Stream, holders []lwtstreamversion.Holder,
+) {
+	view.mutex.Lock()
+	defer view.mutex.Unlock()
+	view.streams.Observe(now, stream, holders)
+}
+
+func (view *view) confirmStream(key lwtstreamversion.Key, holder lwtstreamversion.Holder) {
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
-	view.streams.Observe(now, stream)
+	view.streams.Confirm(key, holder)
+}
+
+func (view *view) reviewStreamHolders() {
+	view.mutex.Lock()
+	defer view.mutex.Unlock()
+	view.streams.ReviewHolders()
 }
 
 func (view *view) beginStream(now time.Time, stream lwtstreamversion.Stream) {
@@ -241,17 +274,21 @@
 	view.streams.End(key)
 }
 
-func (view *view) dueStreamReports(now time.Time) []lwtstreamversion.Stream {
+func (view *view) dueStreamReports(
+	now time.Time, holdersOf func(lwtstreamversion.Key) []lwtstreamversion.Holder,
+) map[lwtstreamversion.Holder][]lwtstreamversion.Stream {
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
-	return view.streams.DueReports(now)
+	return view.streams.DueReports(now, holdersOf)
 }
 
-func (view *view) recordStreamReports(now time.Time, keys []lwtstreamversion.Key) {
+func (view *view) recordStreamReports(
+	now time.Time, holder lwtstreamversion.Holder, streams []lwtstreamversion.Stream,
+) {
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
-	for _, key := range keys {
-		view.streams.RecordReport(now, key)
+	for _, stream := range streams {
+		view.streams.RecordReport(now, stream.Key, holder)
 	}
 }
 
