Keep the versions of streams in the store for a loss of all daemons

Cause: which version began a stream was in the daemons' memory only.

Ruled out: a write for each stream, or a call of its own: the row of the daemon is written every 2 s (20 s in large fleets) anyway, and a transaction takes several rows.

Change: the transaction of the daemon's row carries the streams that it has begun, four times as often while several versions serve, and once at its end. The next process adopts them; others find them by the read that tells the versions.

--- a/core/lwtstreamversion/streamversion.go
+++ b/core/lwtstreamversion/streamversion.go
@@ -71,8 +71,10 @@
 type tableEntry struct {
 	Stream
 	addedAt time.Time
-	// own says that this daemon has begun the stream.
-	own     bool
+	// own says that this daemon has begun the stream, or the process of it before.
+	own bool
+	// stored says that the stream was read from the store, where every daemon finds it.
+	stored  bool
 	reports []report
 }
 
@@ -230,17 +232,48 @@
 // Observe records a stream of which another daemon knows. That daemon reports it to the holders, which
 // therefore count as informed.
 func (table *Table) Observe(now time.Time, stream Stream, holders []Holder) {
-	if _, found := table.streams[stream.Key]; found || !now.Before(stream.ExpiresAt) {
-		return
-	}
-	table.ObserveVersion(now, stream.Service, stream.Version)
 	entry := &tableEntry{Stream: stream, addedAt: now}
 	for _, holder := range holders {
 		entry.reports = append(entry.reports, report{holder: holder, confirmed: true})
 	}
+	table.addUnknown(now, entry)
+}
+
+// Adopt records a stream that the process of this daemon before has begun.
+func (table *Table) Adopt(now time.Time, stream Stream) {
+	table.addUnknown(now, &tableEntry{Stream: stream, addedAt: now, own: true})
+}
+
+// ObserveStored records a stream that was read from the store. It is not reported to others.
+func (table *Table) ObserveStored(now time.Time, stream Stream) {
+	table.addUnknown(now, &tableEntry{Stream: stream, addedAt: now, stored: true})
+}
+
+// addUnknown stores an entry whose stream is neither known nor expired.
+func (table *Table) addUnknown(now time.Time, entry *tableEntry) {
+	if _, found := table.streams[entry.Key]; found || !now.Before(entry.ExpiresAt) {
+		return
+	}
+	table.ObserveVersion(now, entry.Service, entry.Version)
 	table.add(now, entry)
 }
 
+// OwnStreams returns the streams of this daemon that are old enough to be reported, sorted by key. If
+// there are more than limit, it returns those that expire last.
+func (table *Table) OwnStreams(now time.Time, limit int) (streams []Stream) {
+	for _, entry := range table.streams {
+		if entry.own && now.Before(entry.ExpiresAt) && now.Sub(entry.addedAt) >= reportDelay {
+			streams = append(streams, entry.Stream)
+		}
+	}
+	if len(streams) > limit {
+		slices.SortFunc(streams, func(a, b Stream) int { return b.ExpiresAt.Compare(a.ExpiresAt) })
+		streams = streams[:limit]
+	}
+	slices.SortFunc(streams, func(a, b Stream) int { return slices.Compare(a.Key[:], b.Key[:]) })
+	return streams
+}
+
 // Find returns the stream with a key.
 func (table *Table) Find(now time.Time, key Key) (Stream, bool) {
 	entry, found := table.streams[key]
@@ -252,8 +285,10 @@
 
 // ReviewHolders checks all streams again. It is called when the set of holders has changed.
 func (table *Table) ReviewHolders() {
-	for key := range table.streams {
-		table.unconfirmed[key] = true
+	for key, entry := range table.streams {
+		if !entry.stored {
+			table.unconfirmed[key] = true
+		}
 	}
 }
 
@@ -330,7 +365,10 @@
 
 // add stores an entry. If there are too many, it drops the eighth of them that expires first.
 func (table *Table) add(now time.Time, entry *tableEntry) {
-	table.streams[entry.Key], table.unconfirmed[entry.Key] = entry, true
+	table.streams[entry.Key] = entry
+	if !entry.stored {
+		table.unconfirmed[entry.Key] = true
+	}
 	if len(table.streams) <= maxStreams {
 		return
 	}
--- a/io/lwtgateway/gateway.go
+++ b/io/lwtgateway/gateway.go
@@ -63,8 +63,10 @@
 	// serversCoveredUntil is until when all changes of the servers were read by this daemon, or by
 	// daemons that announce them, without a gap, in nanoseconds since the Unix epoch.
 	serversCoveredUntil atomic.Int64
-	// memberRowsAdopted says that the daemons' rows have been read once.
-	memberRowsAdopted atomic.Bool
+	// rowsAdopted says that the daemons' rows and the streams have been read once.
+	rowsAdopted atomic.Bool
+	// writtenStreams is the row of this daemon's streams that was last written, or nil.
+	writtenStreams atomic.Pointer[[]byte]
 	// storeEra is the highest known era of the store, 0 before the first response. eraChanged has an
 	// element if it has risen after that.
 	storeEra   atomic.Int64
--- a/io/lwtgateway/member_rows.go
+++ b/io/lwtgateway/member_rows.go
@@ -1,6 +1,7 @@
 package lwtgateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"time"
@@ -9,10 +10,11 @@
 	"lacewingtide/platform"
 )
 
-// followMembers periodically writes this daemon's row and reads the rows of all others,
-// until ctx is canceled. It writes at once when several software versions of a service begin to serve.
+// followMembers periodically writes this daemon's rows and reads the daemons' rows, until ctx is
+// canceled. It writes at once when several software versions of a service begin to serve, and more often
+// while they do.
 func (gateway *Gateway) followMembers(ctx context.Context) error {
-	if err := gateway.adoptMemberRows(ctx); err != nil {
+	if err := gateway.adoptRows(ctx); err != nil {
 		return err
 	}
 	writtenAt, readAt := time.Time{}, time.Now()
@@ -20,16 +22,23 @@
 	for {
 		now, era := time.Now(), gateway.storeEra.Load()
 		interval := memberWriteInterval(gateway.members.count(now))
-		// A store that has come back from an older copy may have lost the row.
-		if now.Sub(writtenAt) >= interval || era != writtenEra {
-			gateway.writeMemberRow()
+		mixedInterval := interval / mixedWritesPerInterval
+		mixed := len(gateway.view.mixedServices(now)) > 0
+		// A store that has come back from an older copy may have lost the rows.
+		if now.Sub(writtenAt) >= interval || era != writtenEra ||
+			mixed && now.Sub(writtenAt) >= mixedInterval && gateway.streamsUnwritten(now) {
+			gateway.writeRows(StoreTimeout)
 			writtenAt, writtenEra = now, era
 		}
 		if now.Sub(readAt) >= gateway.memberReadInterval(now, interval) {
 			_, _ = gateway.readMemberRows()
 			readAt = now
 		}
-		timer := time.NewTimer(isolatedReadInterval)
+		wait := isolatedReadInterval
+		if mixed {
+			wait = min(wait, mixedInterval)
+		}
+		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
@@ -43,16 +52,24 @@
 	}
 }
 
-// adoptMemberRows reads the daemons' rows for the first time. It retries until the store responds or
-// ctx is canceled: the first write replaces what the process before has written.
-func (gateway *Gateway) adoptMemberRows(ctx context.Context) error {
+// mixedWritesPerInterval is how often a daemon writes its rows within the regular interval while several
+// software versions of a service serve.
+const mixedWritesPerInterval = 4
+
+// adoptRows reads the daemons' rows and the streams for the first time. It retries until the store
+// responds or ctx is canceled: the first write replaces what the process before has written.
+func (gateway *Gateway) adoptRows(ctx context.Context) error {
 	for {
 		rows, err := gateway.readMemberRows()
+		if err == nil {
+			err = gateway.readStreamRows(true)
+		}
 		if err == nil {
 			gateway.observeMixedRows(rows)
-			gateway.memberRowsAdopted.Store(true)
+			gateway.rowsAdopted.Store(true)
 			return nil
 		}
+		lwtlog.Debug(gateway.logger, "rows-not-adopted", "err", err)
 		if !sleep(ctx, storeRetryDelay) {
 			return ctx.Err()
 		}
@@ -120,18 +137,20 @@
 	gateway.orderSender.setMembers(live)
 }
 
-// writeMemberRow writes this daemon's row, unless it has not yet read that of the process before.
-func (gateway *Gateway) writeMemberRow() {
-	if !gateway.memberRowsAdopted.Load() {
+// writeRows writes this daemon's row and its streams, unless it has not yet read those of the process
+// before.
+func (gateway *Gateway) writeRows(timeout time.Duration) {
+	if !gateway.rowsAdopted.Load() {
 		return
 	}
+	now := time.Now()
 	mixedUntil := map[string]int64{}
-	for service, until := range gateway.view.mixedUntil(time.Now()) {
+	for service, until := range gateway.view.mixedUntil(now) {
 		mixedUntil[service] = until.UnixMilli()
 	}
 	value, err := json.Marshal(gateway.members.nextHeartbeat(gateway.serving(), mixedUntil))
 	if err == nil {
-		err = gateway.store.Set(platform.Row{Table: memberTable, Key: gateway.settings.Name, Value: value}, StoreTimeout)
+		err = gateway.commitRows(now, platform.Row{Table: memberTable, Key: gateway.settings.Name, Value: value}, timeout)
 	}
 	if err != nil {
 		gateway.metrics.Count("member-not-written")
@@ -139,6 +158,30 @@
 	}
 }
 
+// commitRows writes the daemon's row and, if they have changed, its streams in one transaction.
+func (gateway *Gateway) commitRows(now time.Time, memberRow platform.Row, timeout time.Duration) error {
+	transaction := platform.Transaction{Put: []platform.Row{memberRow}}
+	streams, err := encodeStreamRow(gateway.view.ownStreams(now))
+	if err != nil {
+		return err
+	}
+	if written := gateway.writtenStreams.Load(); written == nil || !bytes.Equal(*written, streams) {
+		transaction.Put = append(transaction.Put, platform.Row{Table: streamTable, Key: gateway.settings.Name, Value: streams})
+	}
+	result, err := gateway.store.Commit(transaction, timeout)
+	if err == nil && result.Applied {
+		gateway.writtenStreams.Store(&streams)
+	}
+	return err
+}
+
+// streamsUnwritten reports whether the store lacks a stream of this daemon.
+func (gateway *Gateway) streamsUnwritten(now time.Time) bool {
+	streams, err := encodeStreamRow(gateway.view.ownStreams(now))
+	written := gateway.writtenStreams.Load()
+	return err == nil && (written == nil || !bytes.Equal(*written, streams))
+}
+
 // serving reports whether callers may send requests to this daemon.
 func (gateway *Gateway) serving() bool {
 	return gateway.drainState().startTime.IsZero() && gateway.view.ready()
--- a/io/lwtgateway/shutdown.go
+++ b/io/lwtgateway/shutdown.go
@@ -21,6 +21,8 @@
 	// idleBeforeExit is how long no request may have been in flight for the daemon to exit
 	// early.
 	idleBeforeExit = 500 * time.Millisecond
+	// lastWriteTimeout bounds the last write to the store. The grace period ends soon after.
+	lastWriteTimeout = 250 * time.Millisecond
 	// idleCheckInterval is the time between two checks for requests in flight.
 	idleCheckInterval = 50 * time.Millisecond
 )
@@ -57,7 +59,7 @@
 	lwtlog.Info(gateway.logger, "daemon-leaving", "grace", gracePeriod, "connections", open, "busy", busy)
 	gateway.sendLoads(startTime)
 	gateway.orderSender.releaseLease()
-	go gateway.writeMemberRow()
+	go gateway.writeRows(StoreTimeout)
 	gateway.entryServer.Drain()
 	time.Sleep(time.Duration(acceptAllFraction * float64(gracePeriod)))
 	gateway.awaitIdle(startTime.Add(time.Duration(acceptShortFraction * float64(gracePeriod))))
@@ -66,6 +68,9 @@
 	ctx, cancel := context.WithDeadline(context.Background(), gateway.drainState().deadline())
 	defer cancel()
 	gateway.entryServer.Wait(ctx)
+	if gateway.streamsUnwritten(time.Now()) {
+		gateway.writeRows(lastWriteTimeout)
+	}
 	open, busy = gateway.entryServer.Connections()
 	lwtlog.Info(gateway.logger, "daemon-left", "took", time.Since(startTime).Round(time.Millisecond), "connections", open,
 		"busy", busy)
--- a/io/lwtgateway/stream_evidence.go
+++ b/io/lwtgateway/stream_evidence.go
@@ -17,35 +17,32 @@
 	versionsReadTimeout = 600 * time.Millisecond
 )
 
-// onlyVersion returns the software version of a service if no other one can have begun a stream that a
-// request takes up. Arrived is when the request did. A server is listed in the store before it serves,
-// so a read that starts later shows the version that began the stream, unless the servers of that
-// version have left: the daemons' rows say that.
-func (gateway *Gateway) onlyVersion(
-	ctx context.Context, service string, arrived time.Time,
-) (version string, only bool) {
-	if _, only = gateway.view.onlyVersion(arrived, service); !only {
-		return "", false
-	}
+// awaitVersions waits for a read of the software versions that starts after a request that takes up a
+// stream. Arrived is when the request did. It reports whether the read succeeded. A server is listed in
+// the store before it serves, so the read shows the version that began the stream, unless the servers of
+// that version have left: the daemons' rows say that.
+func (gateway *Gateway) awaitVersions(ctx context.Context, service string, arrived time.Time) bool {
 	ctx, cancel := context.WithTimeout(ctx, versionsReadTimeout)
 	defer cancel()
 	if err := gateway.versionsRead.startedAfter(ctx, arrived); err != nil {
 		lwtlog.Info(gateway.logger, "versions-not-read", "service", service, "err", err)
-		return "", false
+		return false
 	}
-	return gateway.view.onlyVersion(time.Now(), service)
+	return true
 }
 
-// readVersions reads which software versions serve, and which have served according to other daemons.
+// readVersions reads from the store which software versions serve, which have served according to other
+// daemons, and which have begun streams.
 func (gateway *Gateway) readVersions() error {
-	membersRead := make(chan error, 1)
+	othersRead := make(chan error, 2)
 	go func() {
 		rows, _, err := gateway.store.Rows(memberTable, StoreTimeout)
 		gateway.observeMixedRows(rows)
-		membersRead <- err
+		othersRead <- err
 	}()
+	go func() { othersRead <- gateway.readStreamRows(false) }()
 	rows, _, err := gateway.store.Rows(platform.ServersTable(), StoreTimeout)
-	if err := errors.Join(err, <-membersRead); err != nil {
+	if err := errors.Join(err, <-othersRead, <-othersRead); err != nil {
 		return err
 	}
 	var servers []lwtdiscovery.Server
--- a/io/lwtgateway/streams.go
+++ b/io/lwtgateway/streams.go
@@ -83,20 +83,36 @@
 	}
 }
 
-// findStream returns the stream that a request resumes, if this daemon knows it or another one
-// answers in time.
+// findStream returns the stream that a request resumes, if this daemon knows it, another one answers in
+// time, or the store has it. VersionsRead says that the software versions have been read from the store since
+// the request arrived.
 func (gateway *Gateway) findStream(
-	ctx context.Context, request lwtroutetable.Request,
-) (stream lwtstreamversion.Stream, found bool) {
+	ctx context.Context, service string, request lwtroutetable.Request, arrived time.Time,
+) (stream lwtstreamversion.Stream, found, versionsRead bool) {
 	if request.BegunBy == "" {
-		return stream, false
+		return stream, false, gateway.awaitVersions(ctx, service, arrived)
 	}
 	key := lwtstreamversion.KeyOf(request.BegunBy)
 	if stream, found = gateway.view.findStream(time.Now(), key); found {
-		return stream, found
+		return stream, true, false
 	}
+	asked := gateway.askForStream(ctx, key)
+	source := "daemons"
+	if stream, found = gateway.view.findStream(time.Now(), key); !found {
+		source = "store"
+		versionsRead = gateway.awaitVersions(ctx, service, arrived)
+		stream, found = gateway.view.findStream(time.Now(), key)
+	}
+	lwtlog.Info(gateway.logger, "stream-asked-for", "request", request.ID, "begun-by", request.BegunBy, "asked", asked,
+		"source", source, "store-read", versionsRead, "found", found, "version", stream.Version)
+	return stream, found, versionsRead
+}
+
+// askForStream asks the holders of a stream for its version and waits for the first answer, or
+// streamAnswerTimeout. It returns the number of daemons asked.
+func (gateway *Gateway) askForStream(ctx context.Context, key lwtstreamversion.Key) (asked int) {
 	answered := gateway.streamWaiters.wait(key)
-	asked := gateway.sendStreams(gateway.loadExchange.streamHolders(key, askedHolders), streamsMessage{Asked: [][]byte{key[:]}})
+	asked = gateway.sendStreams(gateway.loadExchange.streamHolders(key, askedHolders), streamsMessage{Asked: [][]byte{key[:]}})
 	if asked > 0 {
 		timer := time.NewTimer(streamAnswerTimeout)
 		defer timer.Stop()
@@ -107,10 +123,7 @@
 		}
 	}
 	gateway.streamWaiters.answer(key)
-	stream, found = gateway.view.findStream(time.Now(), key)
-	lwtlog.Info(gateway.logger, "stream-asked-for", "request", request.ID, "begun-by", request.BegunBy, "asked", asked,
-		"found", found, "version", stream.Version)
-	return stream, found
+	return asked
 }
 
 // streamHolders returns the daemons that hold a stream: in a full mesh all others, otherwise some
@@ -343,15 +356,17 @@
 		return
 	}
 	ctx, gateway := call.exchange.Context(), call.gateway
-	stream, found := gateway.findStream(ctx, call.request)
+	stream, found, versionsRead := gateway.findStream(ctx, call.service, call.request, call.exchange.Arrived)
 	switch {
 	case found && call.route.HasTarget(stream.Service):
 		call.service, call.version, call.versionFixed = stream.Service, stream.Version, true
 	case found:
 		// The route leads to another service now, whose versions are others.
-	default:
-		call.version, call.versionFixed = gateway.onlyVersion(ctx, call.service, call.exchange.Arrived)
+	case versionsRead:
+		call.version, call.versionFixed = gateway.view.onlyVersion(time.Now(), call.service)
 		call.versionUnknown = !call.versionFixed
+	default:
+		call.versionUnknown = true
 	}
 }
 
