Look HTTP fields up whatever their spelling

Cause: fields were looked up by exact spelling, and the resume field was removed in any.

Ruled out: placement and versions; with Last-Event-Id the case holds.

Change: lwthttp.Field compares names without case, for the fields of callers and of servers.

--- a/io/lwtgateway/call.go
+++ b/io/lwtgateway/call.go
@@ -108,7 +108,7 @@
 	header := &exchange.Header
 	return lwtroutetable.Content{
 		Method: header.Method(), Host: header.Host(), Target: header.RequestURI(),
-		Credentials: header.Peek(fasthttp.HeaderAuthorization), Model: request.Model, Body: exchange.Body,
+		Credentials: lwthttp.Field(header, fasthttp.HeaderAuthorization), Model: request.Model, Body: exchange.Body,
 	}
 }
 
--- a/io/lwthttp/exchange.go
+++ b/io/lwthttp/exchange.go
@@ -125,7 +125,7 @@
 // headers and those for which skip returns true. Skip receives the name in lower case. Each
 // line ends with CRLF.
 func (exchange *Exchange) ForwardHeaders(skip func(name string) bool) []byte {
-	connectionNamed := connectionTokens(exchange.Header.Peek("Connection"))
+	connectionNamed := connectionTokens(Field(&exchange.Header, "Connection"))
 	head := make([]byte, 0, len(exchange.Header.RawHeaders())+64)
 	for line := range bytes.Lines(exchange.Header.RawHeaders()) {
 		name, _, found := bytes.Cut(line, []byte(":"))
--- a/io/lwthttp/response.go
+++ b/io/lwthttp/response.go
@@ -112,10 +112,10 @@
 		if response.Header.StatusCode() < 200 {
 			continue
 		}
-		if response.Header.ContentLength() < 0 && len(response.Header.Peek("Transfer-Encoding")) > 0 &&
+		if response.Header.ContentLength() < 0 && len(Field(&response.Header, "Transfer-Encoding")) > 0 &&
 			response.Header.ContentLength() != lengthChunked {
 			return fmt.Errorf("%w: unsupported Transfer-Encoding %q of a response",
-				ErrMalformed, response.Header.Peek("Transfer-Encoding"))
+				ErrMalformed, Field(&response.Header, "Transfer-Encoding"))
 		}
 		response.body = newBody(response.conn.reader, framing{length: response.bodyLength()})
 		switch match(&response.Header) {
@@ -150,7 +150,7 @@
 
 // recordKeepAlive sets the idle timeout of the connection from the Keep-Alive header.
 func (response *Response) recordKeepAlive() {
-	for _, parameter := range strings.Split(string(response.Header.Peek("Keep-Alive")), ",") {
+	for _, parameter := range strings.Split(string(Field(&response.Header, "Keep-Alive")), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(parameter), "=")
 		if seconds, err := strconv.Atoi(value); err == nil && name == "timeout" {
 			response.conn.keepAlive = max(time.Duration(seconds)*time.Second-serverKeepAliveMargin, 0)
@@ -223,7 +223,7 @@
 // ForwardHeaders returns the header lines to forward: all but hop-by-hop headers. Each line
 // ends with CRLF.
 func (response *Response) ForwardHeaders() []byte {
-	connectionNamed := connectionTokens(response.Header.Peek("Connection"))
+	connectionNamed := connectionTokens(Field(&response.Header, "Connection"))
 	head := make([]byte, 0, 256)
 	for name, value := range response.Header.All() {
 		lower := strings.ToLower(string(name))
--- a/io/lwthttp/server.go
+++ b/io/lwthttp/server.go
@@ -219,7 +219,7 @@
 	if framing.length > limits.BodyBytes {
 		return ErrBodyTooLarge
 	}
-	if string(exchange.Header.Peek("Expect")) == "100-continue" {
+	if string(Field(&exchange.Header, "Expect")) == "100-continue" {
 		if err := exchange.write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return err
 		}
