Bound the memory for incomplete events of all streams together

Another operator's report: a faulty server sent bytes without end, and the machine ran out of memory. Here callers of a whole daemon would lose their requests: a daemon kept up to 1 MiB of an event without an end, for each stream.

Cause: the bound was one for each stream.

Ruled out: heads, chunk extensions, rejections, bodies and whole events, which stay below 130 MiB with 250 callers. A head that is broken off at any byte, also behind an interim or a stale response, never looks whole (TestEveryPlaceToBreakAHead passes before).

Change: beyond 32 KiB, incomplete events share a twentieth of the VM's memory; a stream that gets none is broken off and goes on elsewhere.

--- a/io/lwtgateway/deliver.go
+++ b/io/lwtgateway/deliver.go
@@ -131,6 +131,8 @@
 	lastID := ""
 	forwarded := 0
 	buffer := make([]byte, 4<<10)
+	memory := eventShare{memory: call.gateway.eventMemory}
+	defer memory.resize(0)
 	for {
 		n, err := call.response.Read(buffer)
 		searched := max(len(pending)-maxTerminatorBytes+1, 0)
@@ -146,8 +148,9 @@
 				return failure
 			}
 			lastID = lastEventID(pending[:completeLength], lastID)
-			pending = append(pending[:0], pending[completeLength:]...)
+			pending = keepIncomplete(pending, completeLength)
 		}
+		enough := memory.resize(cap(pending))
 		switch {
 		case complete && len(pending) > 0:
 			return call.deliveryFailure(errEndInsideEvent, lastID)
@@ -157,10 +160,21 @@
 			return call.deliveryFailure(err, lastID)
 		case len(pending) > maxEventBytes:
 			return call.deliveryFailure(errResponseTooLong, lastID)
+		case !enough:
+			return call.deliveryFailure(errEventMemoryExhausted, lastID)
 		}
 	}
 }
 
+// keepIncomplete returns the bytes after the complete events. A buffer that has grown for a long event is
+// replaced.
+func keepIncomplete(pending []byte, completeLength int) []byte {
+	if cap(pending) > ownEventBytes {
+		return bytes.Clone(pending[completeLength:])
+	}
+	return append(pending[:0], pending[completeLength:]...)
+}
+
 // forwardCompleteEvents forwards complete events. It returns the result of the delivery if this fails,
 // otherwise nil. Forwarded is the number of bytes of the response including these, lastID the ID of the
 // last event before.
--- a/io/lwtgateway/gateway.go
+++ b/io/lwtgateway/gateway.go
@@ -47,6 +47,7 @@
 	quarantineRows *quarantineRows
 	streamWaiters  *streamWaiters
 	reachability   *reachability
+	eventMemory    *eventMemory
 	// versionsRead reads the software versions of the servers from the store.
 	versionsRead *sharedRead
 
@@ -123,6 +124,7 @@
 	gateway.quarantineRows = newQuarantineRows()
 	gateway.streamWaiters = newStreamWaiters()
 	gateway.reachability = newReachability()
+	gateway.eventMemory = newEventMemory(settings.VM)
 	gateway.versionsRead = newSharedRead(versionsReadInterval, gateway.readVersions)
 	return gateway, nil
 }
--- a/io/lwthttp/trouble_test.go
+++ b/io/lwthttp/trouble_test.go
@@ -63,6 +63,26 @@
 	}
 }
 
+// TestEveryPlaceToBreakAHead guards against a response that ends in the middle of its head and looks like a whole
+// response without a body, also behind an interim response and behind a stale one.
+func TestEveryPlaceToBreakAHead(t *testing.T) {
+	for name, before := range map[string]string{
+		"first": "", "interim": "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n",
+		"stale": "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 2\r\n\r\nhi",
+	} {
+		for _, head := range []string{
+			"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", "HTTP/1.1 200 OK\nId: 1\n\n",
+			"HTTP/1.1 204 No Content\r\nId: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 12\r\n\r\n",
+		} {
+			for at := range len(head) {
+				if _, body, err := send(t, pool(), breakingBackend(t, before+head[:at], false), "1"); err == nil {
+					t.Errorf("%s: truncated head %q appears complete with body %q", name, head[:at], body)
+				}
+			}
+		}
+	}
+}
+
 // TestLateCopyOfARefusal guards against a late duplicate of a rejection that is read as the
 // response to the next attempt of the same request.
 func TestLateCopyOfARefusal(t *testing.T) {
