Send no run to an engine that has begun to drain since it was chosen

Ruled out: the wait in the daemon's own queue; nothing is queued there.

Change: the check right before a request is sent, which knew backoffs and limits, also refuses a server that drains or is gone. The request is placed again or rejected as not run.

--- a/io/lwtgateway/attempt.go
+++ b/io/lwtgateway/attempt.go
@@ -388,6 +388,9 @@
 	return response.Header.StatusCode(), content, err
 }
 
+// errServerLeaving reports that a request was not sent because the server drains or is gone.
+var errServerLeaving = fmt.Errorf("request not sent to a server that drains or is gone")
+
 // errServerBackoff reports that a call was not sent because the server has requested a
 // backoff.
 var errServerBackoff = fmt.Errorf("request not sent during the backoff that the server requested")
--- a/io/lwtgateway/server_limits.go
+++ b/io/lwtgateway/server_limits.go
@@ -29,13 +29,16 @@
 
 // admit returns an error if a server takes no request of a caller now, and otherwise counts the
 // request in the server's limit. It is called for each request right before it is sent: since it
-// was placed, the server may have requested a backoff or reached its limit.
+// was placed, the server may have begun to drain, requested a backoff or reached its limit.
 func (view *view) admit(now time.Time, server lwtdiscovery.Server) error {
 	if view.inBackoff(now, server) {
 		return errServerBackoff
 	}
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
+	if current, listed := view.byID[server.ID]; !listed || current.Draining {
+		return errServerLeaving
+	}
 	if !view.limiter.Take(now, server) {
 		return errServerLimit
 	}
