Choose an engine for a general change of stage as before

Cause: after crashes, an order to decode went to a reachable prefill engine (order-sent at 7.3 s in the logged play), where before it was planned for a crashed one and not sent; the crashed decode engines were back a moment later, and one engine too few prefilled until 35 s.

Change: unreachable engines are left out only where a version needs a decode engine.

--- a/core/lwtprefillratio/prefillratio.go
+++ b/core/lwtprefillratio/prefillratio.go
@@ -302,8 +302,8 @@
 	spare := planner.spareDecodeEngines(engines, changes)
 	var candidates []lwtdiscovery.Server
 	for _, engine := range engines {
-		if planner.plannedStage(engine, changes) != from || to.ofVersion && engine.Version != to.version ||
-			planner.unreachable[engine.ID] || from == lwtdiscovery.Decode && spare[engine.Version] <= 0 {
+		if planner.plannedStage(engine, changes) != from || from == lwtdiscovery.Decode && spare[engine.Version] <= 0 ||
+			to.ofVersion && (engine.Version != to.version || planner.unreachable[engine.ID]) {
 			continue
 		}
 		zoneCounts[engine.AvailabilityZone]++
