Wait for the first connections before asking what began a stream

TestJoiningDaemonAsksWhatBeganAStream failed once in the whole package and in about 1 of 5 runs alone: streams refused that the running daemon knew. Its log: stream-asked-for asked=0, 3 ms after the start of the daemon, before it had its first topology; the store's row was not written yet.

Ruled out: a lost or late answer; nobody was asked.

Change: a daemon that has just started waits for its topology and network, 200 ms at most, instead of asking nobody.

--- a/io/lwtgateway/streams.go
+++ b/io/lwtgateway/streams.go
@@ -38,8 +38,11 @@
 	// askedHolders is the number that are asked for one: after losses, others are relays.
 	streamHolders = 5
 	askedHolders  = 16
-	// streamAnswerTimeout is how long a caller that takes up a stream waits for them.
-	streamAnswerTimeout = 100 * time.Millisecond
+	// streamAnswerTimeout is how long a caller that takes up a stream waits for them. A daemon that
+	// has just started opens its connections first.
+	streamAnswerTimeout = 200 * time.Millisecond
+	// startCheckInterval is the time between two checks whether a daemon that has just started can ask.
+	startCheckInterval = 10 * time.Millisecond
 	// streamReportInterval is the time between two checks for streams to report. Those that began
 	// in between are reported together.
 	streamReportInterval = 50 * time.Millisecond
@@ -111,21 +114,32 @@
 // askForStream asks the holders of a stream for its version and waits for the first answer, or
 // streamAnswerTimeout. It returns the number of daemons asked.
 func (gateway *Gateway) askForStream(ctx context.Context, key lwtstreamversion.Key) (asked int) {
+	ctx, cancel := context.WithTimeout(ctx, streamAnswerTimeout)
+	defer cancel()
+	for !gateway.loadExchange.started() {
+		if !sleep(ctx, startCheckInterval) {
+			return 0
+		}
+	}
 	answered := gateway.streamWaiters.wait(key)
+	defer gateway.streamWaiters.answer(key)
 	asked = gateway.sendStreams(gateway.loadExchange.streamHolders(key, askedHolders), streamsMessage{Asked: [][]byte{key[:]}})
 	if asked > 0 {
-		timer := time.NewTimer(streamAnswerTimeout)
-		defer timer.Stop()
 		select {
 		case <-answered:
-		case <-timer.C:
 		case <-ctx.Done():
 		}
 	}
-	gateway.streamWaiters.answer(key)
 	return asked
 }
 
+// started reports whether this daemon can send messages to others and knows which of them hold streams.
+func (loadExchange *loadExchange) started() bool {
+	loadExchange.mutex.Lock()
+	defer loadExchange.mutex.Unlock()
+	return loadExchange.network != nil && !loadExchange.topologyTime.IsZero()
+}
+
 // streamHolders returns the daemons that hold a stream: in a full mesh all others, otherwise some
 // relays, on which daemons agree that know the same ones.
 func (loadExchange *loadExchange) streamHolders(key lwtstreamversion.Key, count int) []string {
