--- a/core/lwtprefillratio/prefillratio_test.go
+++ b/core/lwtprefillratio/prefillratio_test.go
@@ -221,8 +221,15 @@
 // engine has crashed, and against stages that change to and fro.
 func TestEachVersionHasASecondDecodeEngine(t *testing.T) {
 	for _, versions := range [][][2]int{
-		{{4, 0}, {4, 0}}, {{3, 1}, {2, 2}}, {{9, 0}, {3, 0}}, {{3, 0}, {0, 9}}, {{10, 0}, {2, 0}}, {{11, 0}, {1, 0}},
-		{{3, 0}, {3, 0}, {3, 0}}, {{0, 4}, {0, 4}, {0, 4}}, {{2, 0}, {2, 0}},
+		{{4, 0}, {4, 0}},
+		{{3, 1}, {2, 2}},
+		{{9, 0}, {3, 0}},
+		{{3, 0}, {0, 9}},
+		{{10, 0}, {2, 0}},
+		{{11, 0}, {1, 0}},
+		{{3, 0}, {3, 0}, {3, 0}},
+		{{0, 4}, {0, 4}, {0, 4}},
+		{{2, 0}, {2, 0}},
 	} {
 		for _, busy := range []bool{false, true} {
 			servers, planner, now := versionedFleet(versions...), lwtprefillratio.New(), start
--- a/core/lwtqueueplacement/version_test.go
+++ b/core/lwtqueueplacement/version_test.go
@@ -124,7 +124,8 @@
 		deadline  time.Duration
 		placed    bool
 	}{
-		{"new", false, 10 * time.Second, false}, {"continued", true, 10 * time.Second, true},
+		{"new", false, 10 * time.Second, false},
+		{"continued", true, 10 * time.Second, true},
 		{"continued, too late for its deadline", true, 20 * time.Millisecond, false},
 	} {
 		request := placementRequest(longPrompt(100))
