--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -405,12 +405,26 @@
         request_id = request.header("Request-Id")
         self.fleet.record.line("run", request_id, "at", self.id)
         self.fleet.ran(request_id, self)
+        if self.stage:
+            return self.stream(request_id, connection)
         time.sleep(self.work_s)
         body = ("answer to %s" % request_id).encode()
         answer(connection, 200, [("Request-Id", request_id), ("Response-Seal", "seal"), ("Content-Type", "text/plain")], body)
         return True
 
 
+    def stream(self, request_id, connection, events=5, gap_s=0.02):
+        """Answers with a stream of events that ends by its last chunk."""
+        connection.sendall(("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: seal\r\nContent-Type: text/event-stream\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n" % request_id).encode())
+        for number in range(1, events + 1):
+            time.sleep(gap_s)
+            event = b"id: %d\ndata: token %d\n\n" % (number, number)
+            connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+        connection.sendall(b"0\r\n\r\n")
+        return True
+
+
 # --- the entry daemons -----------------------------------------------------------------------------
 
 
