--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -11,7 +11,6 @@
 import shutil
 import signal
 import socket
-import struct
 import subprocess
 import sys
 import tempfile
@@ -144,7 +143,7 @@
             except OSError:
                 pass
 
-    def close(self, reset=False):
+    def close(self):
         self.open = False
         try:
             self.socket.shutdown(socket.SHUT_RDWR)
@@ -154,15 +153,12 @@
         with self.lock:
             connections = list(self.connections)
         for connection in connections:
-            close_connection(connection, reset)
+            close_connection(connection)
 
 
-def close_connection(connection, reset=False):
+def close_connection(connection):
     try:
-        if reset:
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        else:
-            connection.shutdown(socket.SHUT_RDWR)
+        connection.shutdown(socket.SHUT_RDWR)
     except OSError:
         pass
     try:
@@ -293,6 +289,7 @@
     """A backend server. A stage makes it a model engine. Override the methods to add troubles."""
 
     heartbeat_s = 1.2
+    version = "v1"
 
     def __init__(self, fleet, service, zone, stage="", slots=6, work_s=0.03):
         self.fleet, self.service, self.zone, self.stage, self.slots, self.work_s = fleet, service, zone, stage, slots, work_s
@@ -311,7 +308,7 @@
 
     def entry(self):
         self.seq += 1
-        entry = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": self.slots,
+        entry = {"service": self.service, "address": self.address, "zone": self.zone, "version": self.version, "slots": self.slots,
                  "state": self.state, "coldRemainingMs": 0, "seq": self.seq, "born": self.born}
         if self.stage:
             entry.update(stage=self.stage, models=[{"name": "m", "version": 1, "adapters": []}])
@@ -328,9 +325,27 @@
         with self.lock:
             self.fleet.store.put("servers", self.id, self.entry())
 
-    def stop(self, reset=False):
+    def stop(self):
         self.alive = False
-        self.listener.close(reset)
+        self.listener.close()
+
+    def crash(self, down_s, stage):
+        """Ends the server's process and starts it again under its id, with nothing of before and in a stage."""
+        self.fleet.record.line("crash", self.id, self.version, self.stage)
+        ip, port = self.listener.socket.getsockname()
+        self.beating = False
+        self.listener.close()
+
+        def back():
+            time.sleep(down_s)
+            self.stage, self.seq, self.orders, self.busy_until, self.handles = stage, 0, 0, 0.0, {}
+            self.born = int(time.time() * 1000)
+            self.listener = Listener(ip, port, self.handle)
+            self.beating = True
+            self.publish()
+            self.fleet.record.line("back", self.id, self.version, self.stage)
+
+        threading.Thread(target=back, daemon=True).start()
 
     def handle(self, request, connection):
         expected = request.header("Expected-Instance")
