--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -487,6 +487,9 @@
             settings.write(text)
         command = self.fleet.run_command.replace("/etc/lacewingtide/settings.yaml", self.settings).split()
         log = open(self.log, "ab")
+        if self.fleet.ended:
+            log.close()
+            return
         self.process = subprocess.Popen(command, cwd=ROOT, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
         log.close()
         self.fleet.record.line("start", self.name, "pid", self.process.pid)
@@ -539,6 +542,7 @@
         self.folder = tempfile.mkdtemp(prefix="review-2-")
         self.store = Store()
         self.servers, self.daemons = [], []
+        self.ended = False
         self.runs, self.run_lock = {}, threading.Lock()
         with open(os.path.join(ROOT, "deploy", "system.toml")) as deploy:
             self.run_command = re.search(r'^run = "(.*)"$', deploy.read(), re.M).group(1)
@@ -582,6 +586,7 @@
         return next((daemon for daemon in self.daemons if daemon.ip == address.split(":")[0]), None)
 
     def end(self):
+        self.ended = True
         for daemon in self.daemons:
             daemon.end()
         for server in self.servers:
@@ -597,15 +602,23 @@
     """The case could not run."""
 
 
+HELD, BROKEN, NOT_RUN = 0, 10, 2  # run.sh turns BROKEN into 1, which Python also uses for its own errors
+
+
 def main(case_folder, case):
-    """Runs case(fleet, trouble), which returns whether the rule held, and exits as run.sh has to."""
+    """Runs case(fleet, trouble), which returns whether the rule held, and exits with HELD, BROKEN or NOT_RUN."""
+
+    def stop(*_):
+        raise CannotRun("the time of the script is over")
+
+    signal.signal(signal.SIGTERM, stop)
     fleet = None
-    status = 2
+    status = NOT_RUN
     try:
         fleet = Fleet(case_folder)
         held = case(fleet, os.environ.get("TROUBLE", "1") != "0")
         fleet.record.line("rule", "held" if held else "BROKEN")
-        status = 0 if held else 1
+        status = HELD if held else BROKEN
     except CannotRun as error:
         print("cannot run:", error)
     except Exception as error:  # a fault of the script itself
