Pass a status that promises "not run" on only if the server states it

The daemon passed the 503 on, callers placed the order again, and it ran twice.

Cause: for itself the daemon counted such a request as one that may have run, and turned a 503 of its own into 502. The status of a server's response was passed on without that check. Ruled out: a late response to another request (the id is the request's own), a retry of the daemon (one server per attempt).

Change: 408, 421, 429 and 503 of a server without its statement have an unknown outcome. Work that may be repeated is retried within its budget, anything else ends with 502, without the seal. design.md 5.17 says who may make the promise.

--- a/core/lwtrequestflow/message.go
+++ b/core/lwtrequestflow/message.go
@@ -28,6 +28,9 @@
 	NotRun bool
 	// Misdirected reports whether another server than the chosen one now has the address.
 	Misdirected bool
+	// PromisesNotRun reports whether callers read the status as a promise that the request has
+	// not run. Only a response with NotRun is evidence for it.
+	PromisesNotRun bool
 }
 
 // Failed is a result of Prefill, Send or Deliver: there is no response, or it was cut off.
@@ -118,6 +121,10 @@
 		flow.hasKVCache = false
 		flow.reason = "refused-by-server"
 		return flow.retry(now, lwtretry.Rejected)
+	case message.PromisesNotRun:
+		// The server may have run the request, so its status must not reach the caller.
+		flow.mayHaveRun, flow.hasKVCache, flow.reason = true, false, "unproven-promise"
+		return flow.retry(now, lwtretry.Unknown)
 	}
 	failed := message.Status >= 500
 	if failed && flow.route.RetryPolicy == lwtroutetable.RetryAlways && flow.attempts < flow.route.MaxAttempts &&
--- a/core/lwtrequestflow/property_test.go
+++ b/core/lwtrequestflow/property_test.go
@@ -13,7 +13,7 @@
 
 // TestAnyOrderOfEvents checks random sequences of events, which the scripts do not cover. It
 // guards against a request that must not run twice being sent again after an unknown outcome,
-// a request that may have run being reported as not run, more attempts than the route allows,
+// a request that may have run being reported as not run, by the daemon or by a server, more attempts than the route allows,
 // and a flow that never ends.
 func TestAnyOrderOfEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -57,7 +57,8 @@
 				message = rapid.SampledFrom([]any{
 					lwtrequestflow.ResponseStarted{Status: 200},
 					lwtrequestflow.ResponseStarted{Status: 500},
-					lwtrequestflow.ResponseStarted{Status: 503, NotRun: true},
+					lwtrequestflow.ResponseStarted{Status: 503, PromisesNotRun: true},
+					lwtrequestflow.ResponseStarted{Status: 503, NotRun: true, PromisesNotRun: true},
 					lwtrequestflow.Failed{Outcome: lwtretry.Unknown},
 					lwtrequestflow.Failed{Outcome: lwtretry.NotSent},
 					lwtrequestflow.TimedOut{},
@@ -98,6 +99,9 @@
 				return
 			}
 			flow, step = flow.Update(now, step, message)
+			if response, ok := message.(lwtrequestflow.ResponseStarted); ok && response.PromisesNotRun && step == lwtrequestflow.Deliver {
+				t.Fatalf("a status is delivered that promises that the request has not run: %+v", response)
+			}
 		}
 	})
 }
--- a/core/lwtrequestflow/script_test.go
+++ b/core/lwtrequestflow/script_test.go
@@ -35,7 +35,7 @@
 //	request POLICY attempts=N budget=N timeout=DURATION   POLICY: if-not-run, always or resume
 //	after DURATION
 //	placed | placed prefill | not-placed DURATION | prefilled
-//	response STATUS | rejected | misdirected | not-sent | unknown [not-retryable] | broken [EVENT-ID]
+//	response STATUS | unproven STATUS | rejected | misdirected | not-sent | unknown [not-retryable] | broken [EVENT-ID]
 //	delivered | caller-gone | timeout | timeout partially-delivered
 //	=> STEP [STATUS] [after EVENT-ID] [with-kv-cache]
 type script struct {
@@ -110,8 +110,10 @@
 		return lwtrequestflow.Prefilled{}
 	case "response":
 		return lwtrequestflow.ResponseStarted{Status: parseInt(t, rest)}
+	case "unproven":
+		return lwtrequestflow.ResponseStarted{Status: parseInt(t, rest), PromisesNotRun: true}
 	case "rejected":
-		return lwtrequestflow.ResponseStarted{Status: 503, NotRun: true}
+		return lwtrequestflow.ResponseStarted{Status: 503, NotRun: true, PromisesNotRun: true}
 	case "misdirected":
 		return lwtrequestflow.ResponseStarted{Status: 421, NotRun: true, Misdirected: true}
 	case "delivered":
--- a/io/lwtgateway/attempt.go
+++ b/io/lwtgateway/attempt.go
@@ -200,7 +200,7 @@
 	status := response.Header.StatusCode()
 	message := lwtrequestflow.ResponseStarted{
 		Status: status, NotRun: call.gateway.protocol.NotRun(&response.Header),
-		Misdirected: status == fasthttp.StatusMisdirectedRequest,
+		Misdirected: status == fasthttp.StatusMisdirectedRequest, PromisesNotRun: call.gateway.protocol.PromisesNotRun(status),
 	}
 	if message.NotRun {
 		call.discardRejection(message.Misdirected)
@@ -211,6 +211,12 @@
 		return message
 	}
 	call.kvHandle = ""
+	if message.PromisesNotRun {
+		call.excludedServers[server.ID] = true
+		lwtlog.Info(call.gateway.logger, "attempt-failed", "request", call.request.ID, "server", server.ID, "step", "run",
+			"outcome", lwtretry.Unknown.String(), "status", status, "err", errUnprovenPromise)
+		return message
+	}
 	if message.Status < fasthttp.StatusMultipleChoices && !call.gateway.protocol.Signed(&response.Header) {
 		call.recordEnd(true)
 		call.excludedServers[server.ID] = true
@@ -223,6 +229,10 @@
 	return message
 }
 
+// errUnprovenPromise reports a status that tells callers that the request has not run, from a server
+// that does not say so itself.
+var errUnprovenPromise = fmt.Errorf("the server does not state that the request has not run, as its status promises")
+
 // logResume logs that a stream goes on at a server, if the request resumes one.
 func (call *call) logResume(server lwtdiscovery.Server) {
 	event := call.flow.LastEventID()
--- a/io/lwtgateway/protocol.go
+++ b/io/lwtgateway/protocol.go
@@ -36,6 +36,9 @@
 	AppendResumeAfter(head []byte, event string) []byte
 	// NotRun reports whether a response says that the request was not executed.
 	NotRun(header *fasthttp.ResponseHeader) bool
+	// PromisesNotRun reports whether callers read a status as a promise that the request has not
+	// run and will not run, so that they send it again whatever its kind.
+	PromisesNotRun(status int) bool
 	// ResponseRequestID returns the ID of the request that a response belongs to, or "" if
 	// the response has none.
 	ResponseRequestID(header *fasthttp.ResponseHeader) string
