Tell a reset from the end of a body while the request is written

Cause: an end of file stood for the end of a body without a length. Ruled out: a server that closes in order, which nothing on the wire tells from a whole body.

Change: at the end of file, a write in progress is ended and its result looked at. Success, the daemon's own close and EPIPE (the server has closed its side first) are an orderly end, anything else is a reset.

--- a/io/lwthttp/response.go
+++ b/io/lwthttp/response.go
@@ -8,6 +8,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -149,7 +150,34 @@
 }
 
 // Read reads the body. It returns io.EOF only when the body is complete.
-func (response *Response) Read(into []byte) (int, error) { return response.body.Read(into) }
+func (response *Response) Read(into []byte) (int, error) {
+	n, err := response.body.Read(into)
+	if errors.Is(err, io.EOF) && response.body.framing.length == lengthUntilClose {
+		if resetErr := response.checkOrderlyEnd(); resetErr != nil {
+			response.body.complete = false
+			return n, resetErr
+		}
+	}
+	return n, err
+}
+
+// checkOrderlyEnd returns ErrIncomplete if the server has reset the connection at whose end of file
+// a body without a length ends. The kernel reports a reset once. If the request body is still being
+// written, the write may have received the error, and the read then sees an end of file. A write that
+// fails after the server has closed its side gets EPIPE.
+func (response *Response) checkOrderlyEnd() error {
+	if response.bodyWritten == nil {
+		return nil
+	}
+	// This ends a write in progress, so that its result is known.
+	response.conn.Close()
+	err := <-response.bodyWritten
+	response.bodyWritten = nil
+	if err == nil || errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.EPIPE) {
+		return nil
+	}
+	return fmt.Errorf("%w: %w", ErrIncomplete, err)
+}
 
 // Complete reports whether the whole body has been read.
 func (response *Response) Complete() bool { return response.body.complete }
