--- a/io/lwthttp/upload_test.go
+++ b/io/lwthttp/upload_test.go
@@ -10,36 +10,12 @@
 	"time"
 
 	"lacewingtide/io/lwthttp"
+	"lacewingtide/io/lwthttptest"
 )
 
 // uploadBytes is the size of a request body that does not fit the buffers of a connection.
 const uploadBytes = 4 << 20
 
-// respondBeforeUpload starts a server that sends a response on each connection when it has read the
-// start of a request, and then ends the connection.
-func respondBeforeUpload(t *testing.T, response string, end func(conn *net.TCPConn)) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				_, _ = conn.Read(make([]byte, 100))
-				_, _ = conn.Write([]byte(response))
-				end(conn.(*net.TCPConn))
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // upload sends a request with a large body on a new connection.
 func upload(t *testing.T, address string) (body string, err error) {
 	t.Helper()
@@ -61,11 +37,6 @@
 	return string(content), err
 }
 
-func reset(conn *net.TCPConn) {
-	_ = conn.SetLinger(0)
-	_ = conn.Close()
-}
-
 // uploadAttempts is how often an order of events is tried that depends on the scheduling.
 const uploadAttempts = 100
 
@@ -73,9 +44,9 @@
 func TestResetDuringUpload(t *testing.T) {
 	for _, status := range []string{"200 OK", "500 Internal Server Error"} {
 		for _, delay := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
-			address := respondBeforeUpload(t, "HTTP/1.1 "+status+"\r\nId: 1\r\n\r\npart of the body", func(conn *net.TCPConn) {
+			address := lwthttptest.ServeBeforeBody(t, "HTTP/1.1 "+status+"\r\nId: 1\r\n\r\npart of the body", func(conn *net.TCPConn) {
 				time.Sleep(delay)
-				reset(conn)
+				lwthttptest.Reset(conn)
 			})
 			for range uploadAttempts / 5 {
 				if body, err := upload(t, address); err == nil {
@@ -95,7 +66,7 @@
 		"failure": "HTTP/1.1 500 Internal Server Error\r\nId: 1\r\n\r\n" + body,
 		"neither": ok + "\r\n" + body,
 	}
-	ends := map[string]func(conn *net.TCPConn){
+	ends := map[string]lwthttptest.End{
 		"reads on": func(conn *net.TCPConn) {
 			_ = conn.CloseWrite()
 			_, _ = conn.Read(make([]byte, uploadBytes))
@@ -108,7 +79,7 @@
 		},
 		"resets later": func(conn *net.TCPConn) {
 			time.Sleep(20 * time.Millisecond)
-			reset(conn)
+			lwthttptest.Reset(conn)
 		},
 	}
 	for framing, response := range responses {
@@ -116,7 +87,7 @@
 			if name == "resets later" && (framing == "neither" || framing == "failure") {
 				continue
 			}
-			address := respondBeforeUpload(t, response, end)
+			address := lwthttptest.ServeBeforeBody(t, response, end)
 			for range uploadAttempts / 5 {
 				if got, err := upload(t, address); err != nil || got != body {
 					t.Errorf("%s, the server %s: body %q, error %v; want the whole body", framing, name, got, err)
@@ -129,7 +100,7 @@
 // TestNoResponseDuringUpload guards against a connection that is reset before a whole head and looks like a response.
 func TestNoResponseDuringUpload(t *testing.T) {
 	for _, part := range []string{"", "HTTP/1.1 200 OK\r\nId: 1\r\n"} {
-		address := respondBeforeUpload(t, part, reset)
+		address := lwthttptest.ServeBeforeBody(t, part, lwthttptest.Reset)
 		for range uploadAttempts / 5 {
 			if body, err := upload(t, address); err == nil || errors.Is(err, lwthttp.ErrNotSent) {
 				t.Errorf("%q: body %q, error %v; want an error other than ErrNotSent", part, body, err)
