Read responses to HEAD without a body, and heads of up to 16 KiB

Callers would see: a HEAD request waits for the body that the response declares until its deadline (504, though it has run); on a streaming route the daemon sent the end of a chunked body to it, which its caller reads as the next response.

Cause: the reader decided by fields and status alone whether a body follows, and a head had to fit the buffer of its connection. Ruled out for the first: the server, which sent no body.

Change: a response to HEAD has no body in either direction, and its length is passed on. A larger head gets a larger buffer for its connection, which is not used again.

--- a/io/lwthttp/exchange.go
+++ b/io/lwthttp/exchange.go
@@ -41,16 +41,17 @@
 func (exchange *Exchange) SetConnectionClose() { exchange.closeAfterResponse = true }
 
 // Respond sends a complete response. Head holds the header lines, each ending with CRLF,
-// without Content-Length and Transfer-Encoding.
+// without Transfer-Encoding and, unless the request is a HEAD request, without Content-Length.
 func (exchange *Exchange) Respond(status int, head, body []byte) error {
 	buffer := exchange.appendHead(exchange.scratch[:0], status, head)
-	if !statusHasNoBody(status) {
+	hasBody := !exchange.Header.IsHead() && !statusHasNoBody(status)
+	if hasBody {
 		buffer = append(buffer, "Content-Length: "...)
 		buffer = strconv.AppendInt(buffer, int64(len(body)), 10)
 		buffer = append(buffer, "\r\n"...)
 	}
 	buffer = append(buffer, "\r\n"...)
-	if !exchange.Header.IsHead() && !statusHasNoBody(status) {
+	if hasBody {
 		buffer = append(buffer, body...)
 	}
 	exchange.scratch = buffer
@@ -75,7 +76,7 @@
 
 // Write sends a part of the body as one chunk.
 func (exchange *Exchange) Write(piece []byte) error {
-	if len(piece) == 0 {
+	if len(piece) == 0 || exchange.Header.IsHead() {
 		return nil
 	}
 	exchange.scratch = AppendChunk(exchange.scratch[:0], piece)
@@ -84,9 +85,11 @@
 
 // EndResponse completes a response that was begun by BeginResponse.
 func (exchange *Exchange) EndResponse() error {
-	exchange.scratch = AppendChunk(exchange.scratch[:0], nil)
-	if err := exchange.write(exchange.scratch); err != nil {
-		return err
+	if !exchange.Header.IsHead() {
+		exchange.scratch = AppendChunk(exchange.scratch[:0], nil)
+		if err := exchange.write(exchange.scratch); err != nil {
+			return err
+		}
 	}
 	exchange.responseEnded = true
 	return nil
--- a/io/lwthttp/pool.go
+++ b/io/lwthttp/pool.go
@@ -54,6 +54,9 @@
 	idleSince time.Time
 	// keepAlive is the idle timeout.
 	keepAlive time.Duration
+	// grown says that reader has been replaced by a larger one, which may leave bytes in the first.
+	// The connection is not used again.
+	grown bool
 	// Reused says that the connection has carried an earlier request.
 	Reused bool
 }
--- a/io/lwthttp/response.go
+++ b/io/lwthttp/response.go
@@ -1,6 +1,8 @@
 package lwthttp
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -24,6 +26,8 @@
 	bodyWritten chan error
 	// stopCancel stops closing the connection when the context is canceled.
 	stopCancel func() bool
+	// toHead says that the request has the method HEAD, so that the response has no body.
+	toHead bool
 	// reusable says that the server keeps the connection open.
 	reusable bool
 	released bool
@@ -65,7 +69,9 @@
 func (conn *Conn) RoundTrip(
 	ctx context.Context, head, body []byte, deadline time.Time, match func(*fasthttp.ResponseHeader) ResponseMatch,
 ) (*Response, error) {
-	response := &Response{conn: conn, stopCancel: context.AfterFunc(ctx, conn.Close)}
+	response := &Response{
+		conn: conn, stopCancel: context.AfterFunc(ctx, conn.Close), toHead: bytes.HasPrefix(head, []byte(fasthttp.MethodHead+" ")),
+	}
 	if err := response.roundTrip(head, body, deadline, match); err != nil {
 		response.stopCancel()
 		conn.Close()
@@ -104,7 +110,7 @@
 
 func (response *Response) readHead(match func(*fasthttp.ResponseHeader) ResponseMatch) error {
 	for range maxStaleResponses + 1 {
-		framing, err := readHead(response.conn.reader, &response.Header)
+		framing, err := response.conn.readHead(&response.Header)
 		if err != nil {
 			return fmt.Errorf("read response head: %w", err)
 		}
@@ -112,13 +118,13 @@
 		if status < 200 {
 			continue
 		}
-		if statusHasNoBody(status) {
+		if response.toHead || statusHasNoBody(status) {
 			framing.length = 0
 		}
 		response.body = newBody(response.conn.reader, framing)
 		switch match(&response.Header) {
 		case OwnResponse:
-			response.reusable = !response.Header.ConnectionClose()
+			response.reusable = !response.Header.ConnectionClose() && !response.conn.grown
 			response.recordKeepAlive()
 			return nil
 		case AmbiguousResponse:
@@ -131,6 +137,17 @@
 	return fmt.Errorf("%w: more than %d stale responses", ErrMalformed, maxStaleResponses)
 }
 
+// readHead reads a head. One that exceeds the buffer of the connection gets a larger one.
+func (conn *Conn) readHead(header *fasthttp.ResponseHeader) (framing, error) {
+	framing, err := readHead(conn.reader, header)
+	if errors.Is(err, errHeadTooLarge) && !conn.grown {
+		conn.grown = true
+		conn.reader = bufio.NewReaderSize(conn.reader, maxHeadBytes)
+		return readHead(conn.reader, header)
+	}
+	return framing, err
+}
+
 // skipBody discards the body of a stale response.
 func (response *Response) skipBody() error {
 	if _, err := io.CopyN(io.Discard, response.body, maxStaleBodyBytes); !errors.Is(err, io.EOF) {
@@ -239,13 +256,13 @@
 }
 
 // ForwardHeaders returns the header lines to forward: all but hop-by-hop headers. Each line
-// ends with CRLF.
+// ends with CRLF. The length that the response to a HEAD request declares is forwarded.
 func (response *Response) ForwardHeaders() []byte {
 	connectionNamed := connectionTokens(Field(&response.Header, "Connection"))
 	head := make([]byte, 0, 256)
 	for name, value := range response.Header.All() {
 		lower := strings.ToLower(string(name))
-		if isHopByHopHeader(lower) || connectionNamed[lower] {
+		if isHopByHopHeader(lower) && !(response.toHead && lower == "content-length") || connectionNamed[lower] {
 			continue
 		}
 		head = append(head, name...)
