Read the store's responses with the one reader of responses

It wrote a whole request before it read, so that a response given before the upload was read was lost.

Change: lwtplatform.Client sends through lwthttp.Pool. A pool can have a dialer and an idle timeout of its own, and closes expired connections by itself. A call of which no byte was written says so (ErrNotSent), also without a free connection. Ruled out: the stand-ins (the daemons' tests pass unchanged).

--- a/io/lwtgateway/gateway.go
+++ b/io/lwtgateway/gateway.go
@@ -112,7 +112,7 @@
 			settings.Bounds.retryBudgetLimits()),
 	}
 	gateway.bounds.Store(&settings.Bounds)
-	gateway.connPool = lwthttp.NewPool(gateway.view.connectionLimit, gateway.onDialed)
+	gateway.connPool = lwthttp.NewPool(lwthttp.PoolOptions{Limit: gateway.view.connectionLimit, OnDialed: gateway.onDialed})
 	gateway.entryServer = lwthttp.New(lwthttp.Options{
 		Handler: gateway.handleRequest, Limits: gateway.limits, OnRejected: gateway.onRejected,
 		MaxConnections: settings.VM.Descriptors - reservedDescriptors,
--- a/io/lwthttp/conn.go
+++ b/io/lwthttp/conn.go
@@ -61,13 +61,14 @@
 	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ETIMEDOUT)
 }
 
-// isOpenAndIdle reports whether a connection is open and has no data to read.
+// isOpenAndIdle reports whether a connection is open and has no data to read. One that gives no access to
+// its socket counts as such.
 func isOpenAndIdle(conn net.Conn) bool {
-	tcp, ok := conn.(*net.TCPConn)
+	socket, ok := conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/io/lwthttp/fuzz_test.go
+++ b/io/lwthttp/fuzz_test.go
@@ -58,7 +58,7 @@
 
 // receive reads a response from a server that sends raw and closes the connection.
 func receive(raw []byte) (*Response, error) {
-	pool := NewPool(func(string) int { return 1 }, func(string, error) {})
+	pool := NewPool(PoolOptions{Limit: func(string) int { return 1 }})
 	server, client := net.Pipe()
 	go func() {
 		// The reader may close its side before it has read all.
--- a/io/lwthttp/http_test.go
+++ b/io/lwthttp/http_test.go
@@ -156,7 +156,7 @@
 
 // pool returns a pool with a limit of 4 connections to each address.
 func pool() *lwthttp.Pool {
-	return lwthttp.NewPool(func(string) int { return 4 }, func(string, error) {})
+	return lwthttp.NewPool(lwthttp.PoolOptions{Limit: func(string) int { return 4 }})
 }
 
 // send sends a request. Responses whose Id header is not id count as stale.
--- a/io/lwthttp/pool.go
+++ b/io/lwthttp/pool.go
@@ -29,19 +29,51 @@
 	responseBufferBytes   = 4096
 )
 
-// Pool keeps connections to backend servers. It is safe for concurrent use.
+// Pool keeps connections to servers. It is safe for concurrent use.
 type Pool struct {
+	options    PoolOptions
 	mutex      sync.Mutex
 	idle       map[string][]*Conn
 	openCounts map[string]int
-	limit      func(address string) int
-	onDialed   func(address string, err error)
+	// sweeping says that a sweep is scheduled.
+	sweeping bool
 }
 
-// NewPool returns an empty pool. Limit returns the maximum number of open connections to an
-// address. OnDialed is called after each dial with its error, if any.
-func NewPool(limit func(address string) int, onDialed func(address string, err error)) *Pool {
-	return &Pool{idle: map[string][]*Conn{}, openCounts: map[string]int{}, limit: limit, onDialed: onDialed}
+// PoolOptions configures a pool.
+type PoolOptions struct {
+	// Limit returns the maximum number of open connections to an address.
+	Limit func(address string) int
+	// OnDialed is called after each dial with its error, if any. It may be nil.
+	OnDialed func(address string, err error)
+	// Dial opens a connection. If it is nil, the pool opens TCP connections on which an unreachable
+	// server is detected within serverUserTimeout.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// KeepAlive is how long a connection may be idle if the server announces no timeout. Zero means
+	// defaultServerKeepAlive.
+	KeepAlive time.Duration
+}
+
+// NewPool returns an empty pool.
+func NewPool(options PoolOptions) *Pool {
+	if options.OnDialed == nil {
+		options.OnDialed = func(string, error) {}
+	}
+	if options.Dial == nil {
+		options.Dial = dial
+	}
+	if options.KeepAlive == 0 {
+		options.KeepAlive = defaultServerKeepAlive
+	}
+	return &Pool{options: options, idle: map[string][]*Conn{}, openCounts: map[string]int{}}
+}
+
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		setTCPOptions(conn, serverUserTimeout)
+	}
+	return conn, err
 }
 
 // Conn is a connection to a backend server that carries one request at a time.
@@ -99,7 +131,7 @@
 func (pool *Pool) reserve(address string) bool {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	if pool.openCounts[address] >= pool.limit(address) {
+	if pool.openCounts[address] >= pool.options.Limit(address) {
 		return false
 	}
 	pool.openCounts[address]++
@@ -111,17 +143,15 @@
 	if !pool.reserve(address) {
 		return nil, fmt.Errorf("%w: %w: %s", ErrNotSent, ErrTooManyConnections, address)
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	netConn, err := dialer.DialContext(ctx, "tcp", address)
-	pool.onDialed(address, err)
+	netConn, err := pool.options.Dial(ctx, address)
+	pool.options.OnDialed(address, err)
 	if err != nil {
 		pool.recordClosed(address)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	setTCPOptions(netConn, serverUserTimeout)
 	return &Conn{
 		pool: pool, address: address, conn: netConn, reader: bufio.NewReaderSize(netConn, responseBufferBytes),
-		keepAlive: defaultServerKeepAlive,
+		keepAlive: pool.options.KeepAlive,
 	}, nil
 }
 
@@ -172,4 +202,25 @@
 	conn.pool.mutex.Lock()
 	defer conn.pool.mutex.Unlock()
 	conn.pool.idle[conn.address] = append(conn.pool.idle[conn.address], conn)
+	conn.pool.scheduleSweep()
+}
+
+// scheduleSweep closes expired connections later, if there are idle ones. The mutex must be held.
+func (pool *Pool) scheduleSweep() {
+	if pool.sweeping || len(pool.idle) == 0 {
+		return
+	}
+	pool.sweeping = true
+	time.AfterFunc(pool.options.KeepAlive, func() {
+		pool.Sweep(time.Now(), func(string) bool { return true })
+		pool.mutex.Lock()
+		defer pool.mutex.Unlock()
+		pool.sweeping = false
+		pool.scheduleSweep()
+	})
+}
+
+// CloseIdle closes the idle connections to an address.
+func (pool *Pool) CloseIdle(address string) {
+	pool.Sweep(time.Now(), func(idle string) bool { return idle != address })
 }
--- a/io/lwtplatform/client.go
+++ b/io/lwtplatform/client.go
@@ -3,8 +3,9 @@
 package lwtplatform
 
 import (
-	"bytes"
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -13,6 +14,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"lacewingtide/io/lwthttp"
 )
 
 // Errors of the platform's services.
@@ -80,7 +83,7 @@
 type Client struct {
 	address string
 	timeout time.Duration
-	http    *fasthttp.HostClient
+	pool    *lwthttp.Pool
 	mutex   sync.Mutex
 	limiter callLimiter
 	// fleetRate is the budget of all daemons together in calls per second.
@@ -94,14 +97,9 @@
 		address: address,
 		timeout: timeout,
 		limiter: newCallLimiter(time.Now(), defaultFleetRate), fleetRate: defaultFleetRate,
-		http: &fasthttp.HostClient{
-			Addr:                      address,
-			Dial:                      dial,
-			MaxConns:                  maxConnections,
-			MaxIdleConnDuration:       idleTimeout,
-			MaxIdemponentCallAttempts: 1,
-			RetryIfErr:                neverRetry,
-		},
+		pool: lwthttp.NewPool(lwthttp.PoolOptions{
+			Limit: func(string) int { return maxConnections }, Dial: dial, KeepAlive: idleTimeout,
+		}),
 	}
 }
 
@@ -132,6 +130,8 @@
 const (
 	maxConnections = 64
 	dialTimeout    = time.Second
+	// maxResponseBytes is the maximum size of a response's body.
+	maxResponseBytes = 64 << 20
 	// idleTimeout is shorter than the time after which the server closes an idle
 	// connection. A call on a closed connection counts as lost, and the infrequent polls
 	// in a large fleet would hit one every time.
@@ -144,18 +144,11 @@
 // keepAlive detects a connection that goes silent while a call waits for its response.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}
 
-func dial(address string) (net.Conn, error) {
-	var conn net.Conn
-	var err error
+func dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
-	if conn, err = dialer.Dial("tcp", address); err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
-	}
-	return conn, nil
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
-func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
-
 // Commit sends a transaction. After ErrUnavailable without ErrNotSent, the transaction may
 // or may not have been applied.
 func (client *Client) Commit(transaction Transaction) (CommitResult, error) {
@@ -252,24 +245,36 @@
 }
 
 func (client *Client) send(method, path string, body []byte, timeout time.Duration) (Response, error) {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(method)
-	request.SetRequestURI("http://" + client.address + path)
-	request.SetBodyRaw(body)
-	if err := client.http.DoTimeout(request, response, timeout); err != nil {
-		return Response{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	deadline := time.Now().Add(timeout)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	conn, err := client.pool.Get(ctx, client.address, nil, idleTimeout)
+	if err != nil {
+		return Response{}, callError(err)
+	}
+	response, err := conn.RoundTrip(ctx, lwthttp.AppendRequestHead(nil, method, client.address, path, nil, len(body)), body, deadline, lwthttp.MatchAny)
+	if err != nil {
+		return Response{}, callError(err)
+	}
+	defer func() { response.Release(time.Now()) }()
+	content, err := response.ReadAll(maxResponseBytes)
+	if err != nil {
+		return Response{}, callError(err)
 	}
-	// Copies, because releasing the response returns its buffers to a pool.
-	header := &fasthttp.ResponseHeader{}
-	response.Header.CopyTo(header)
 	return Response{
-		Status: response.StatusCode(), Body: bytes.Clone(response.Body()),
-		Header: func(name string) string { return string(header.Peek(name)) },
+		Status: response.Header.StatusCode(), Body: content,
+		Header: func(name string) string { return string(lwthttp.Field(&response.Header, name)) },
 	}, nil
 }
 
+// callError returns the error of a call without a response.
+func callError(err error) error {
+	if errors.Is(err, lwthttp.ErrNotSent) {
+		return fmt.Errorf("%w: %w: %w", ErrUnavailable, ErrNotSent, err)
+	}
+	return fmt.Errorf("%w: %w", ErrUnavailable, err)
+}
+
 func decode(status int, response []byte, into any) error {
 	switch {
 	case status == fasthttp.StatusNotFound:
