Take a success that states that it has not run for an unknown outcome

The order was sent to another server, and its caller told 503, though the first server may have run it.

Change: the statement counts only with a status of 400 or more; otherwise the outcome is unknown.

--- a/io/lwtgateway/attempt.go
+++ b/io/lwtgateway/attempt.go
@@ -202,6 +202,12 @@
 		Status: status, NotRun: call.gateway.protocol.NotRun(&response.Header),
 		Misdirected: status == fasthttp.StatusMisdirectedRequest, PromisesNotRun: call.gateway.protocol.PromisesNotRun(status),
 	}
+	if message.NotRun && status < fasthttp.StatusBadRequest {
+		call.recordEnd(true)
+		call.kvHandle = ""
+		call.excludedServers[server.ID] = true
+		return call.attemptFailure(lwtretry.Unknown, "run", errContradictoryResponse)
+	}
 	if message.NotRun {
 		call.discardRejection(message.Misdirected)
 		// Record a failure: a server that rejects requests quickly has a low pending load
@@ -233,6 +239,10 @@
 // that does not say so itself.
 var errUnprovenPromise = fmt.Errorf("the server does not state that the request has not run, as its status promises")
 
+// errContradictoryResponse reports a response that states that the request has not run, and whose
+// status says that it has.
+var errContradictoryResponse = fmt.Errorf("the server responds with success, and states that the request has not run")
+
 // logResume logs that a stream goes on at a server, if the request resumes one.
 func (call *call) logResume(server lwtdiscovery.Server) {
 	event := call.flow.LastEventID()
--- a/io/lwtgateway/protocol.go
+++ b/io/lwtgateway/protocol.go
@@ -42,7 +42,7 @@
 	// ResponseRequestID returns the ID of the request that a response belongs to, or "" if
 	// the response has none.
 	ResponseRequestID(header *fasthttp.ResponseHeader) string
-	// Signed reports whether a response carries the server's signature.
+	// Signed reports whether a response carries the server's signature and its unchanged body.
 	Signed(header *fasthttp.ResponseHeader) bool
 	// ServerDraining reports whether a response says that its server is draining.
 	ServerDraining(header *fasthttp.ResponseHeader) bool
