--- a/io/lwtgateway/attempt.go
+++ b/io/lwtgateway/attempt.go
@@ -197,9 +197,16 @@
 		return call.attemptFailure(outcome, "run", err)
 	}
 	call.response = response
-	status := response.Header.StatusCode()
+	return call.checkResponse(server)
+}
+
+// checkResponse returns what the head of the response says about the request. Only a server's own
+// statement is evidence that the request has not run, and only its signature that a success is its own.
+func (call *call) checkResponse(server lwtdiscovery.Server) any {
+	header := &call.response.Header
+	status := header.StatusCode()
 	message := lwtrequestflow.ResponseStarted{
-		Status: status, NotRun: call.gateway.protocol.NotRun(&response.Header),
+		Status: status, NotRun: call.gateway.protocol.NotRun(header),
 		Misdirected: status == fasthttp.StatusMisdirectedRequest, PromisesNotRun: call.gateway.protocol.PromisesNotRun(status),
 	}
 	if message.NotRun && status < fasthttp.StatusBadRequest {
@@ -223,7 +230,7 @@
 			"outcome", lwtretry.Unknown.String(), "status", status, "err", errUnprovenPromise)
 		return message
 	}
-	if message.Status < fasthttp.StatusMultipleChoices && !call.gateway.protocol.Signed(&response.Header) {
+	if message.Status < fasthttp.StatusMultipleChoices && !call.gateway.protocol.Signed(header) {
 		call.recordEnd(true)
 		call.excludedServers[server.ID] = true
 		return lwtrequestflow.Failed{Outcome: lwtretry.Unknown, Reason: "run-unsealed"}
--- a/io/lwthttp/response.go
+++ b/io/lwthttp/response.go
@@ -284,7 +284,8 @@
 	head := make([]byte, 0, 256)
 	for name, value := range response.Header.All() {
 		lower := strings.ToLower(string(name))
-		if isHopByHopHeader(lower) && !(response.toHead && lower == "content-length") || connectionNamed[lower] {
+		forwarded := !isHopByHopHeader(lower) || response.toHead && lower == "content-length"
+		if !forwarded || connectionNamed[lower] {
 			continue
 		}
 		head = append(head, name...)
