Spend retry budget for every arrival after the first, before it is sent

Cause: the budget was spent in five places of the flow; the send that follows rejected prefills was in none of them. Ruled out: the margin of 0.3 and the daemons' shares, one daemon alone breaks it.

Change: Flow.prefill and Flow.send are the only ways to a step that sends, and both pay first, for every arrival after the first, counted as the rule counts. What a retry has paid before its placement is not paid twice.

--- a/core/lwtrequestflow/message.go
+++ b/core/lwtrequestflow/message.go
@@ -64,13 +64,16 @@
 		if message.SeparatePrefill {
 			return flow.prefill(now)
 		}
-		return flow.send()
+		return flow.send(now)
 	case NotPlaced:
 		flow.retryAfter = message.RetryAfter
 		return flow.giveUp(badGateway, message.Reason)
 	case Prefilled:
-		flow.hasKVCache = true
-		return flow.send()
+		if flow.prefillAccepted {
+			flow.arrivals++
+		}
+		flow.hasKVCache, flow.prefillAccepted = true, true
+		return flow.send(now)
 	case ResponseStarted:
 		return flow.responseStarted(now, message)
 	case Failed:
@@ -85,38 +88,47 @@
 	return flow, Stop
 }
 
-// prefill asks a prefill engine to prefill the prompt. Every prefill after the first is a retry
-// and spends budget.
+// prefill asks a prefill engine to prefill the prompt. It and send are the only transitions to a step
+// that sends the request, and both pay before it is sent: each arrival at a server after the first one
+// spends budget, whichever step has led to it.
 func (flow Flow) prefill(now time.Time) (Flow, Step) {
-	if flow.prefills > 0 && !flow.retryBudget.Spend(now) {
+	extraArrivals := flow.arrivals
+	if flow.prefillAccepted {
+		// A further prefill counts, and so does the run that follows.
+		extraArrivals++
+	}
+	flow, paid := flow.pay(now, extraArrivals)
+	if !paid {
 		return flow.giveUp(badGateway, flow.reason+"-no-budget")
 	}
 	flow.prefills++
 	return flow, Prefill
 }
 
-func (flow Flow) send() (Flow, Step) {
+// send sends the request to the server that runs it.
+func (flow Flow) send(now time.Time) (Flow, Step) {
+	flow, paid := flow.pay(now, flow.arrivals)
+	if !paid {
+		return flow.giveUp(badGateway, flow.reason+"-no-budget")
+	}
 	flow.attempts++
 	return flow, Send
 }
 
 func (flow Flow) responseStarted(now time.Time, message ResponseStarted) (Flow, Step) {
+	flow.arrivals++
 	switch {
 	case message.Misdirected:
 		// The chosen server has not received the request.
 		flow.attempts--
 		flow.reason = "misdirected"
-		if !flow.retryBudget.Spend(now) {
-			return flow.giveUp(badGateway, "misdirected-no-budget")
-		}
-		return flow.place(now)
+		return flow.placePaid(now)
 	case message.NotRun && flow.hasKVCache:
-		// The KV cache handle may have expired. The same server can prefill the prompt itself.
+		// The KV cache handle may have expired. The same server can prefill the prompt itself, in the
+		// same attempt.
 		flow.reason, flow.singleEngine, flow.hasKVCache = "refused-with-memory", true, false
-		if !flow.retryBudget.Spend(now) {
-			return flow.giveUp(badGateway, "refused-with-memory-no-budget")
-		}
-		return flow, Send
+		flow.attempts--
+		return flow.send(now)
 	case message.NotRun:
 		flow.hasKVCache = false
 		flow.reason = "refused-by-server"
@@ -128,9 +140,12 @@
 	}
 	failed := message.Status >= 500
 	if failed && flow.route.RetryPolicy == lwtroutetable.RetryAlways && flow.attempts < flow.route.MaxAttempts &&
-		flow.deadline.Sub(now) >= minTimeLeft && flow.retryBudget.Spend(now) {
-		flow.mayHaveRun, flow.reason = true, "error-of-server"
-		return flow.place(now)
+		flow.deadline.Sub(now) >= minTimeLeft {
+		var paid bool
+		if flow, paid = flow.pay(now, flow.arrivals); paid {
+			flow.mayHaveRun, flow.reason = true, "error-of-server"
+			return flow.place(now)
+		}
 	}
 	flow.mayHaveRun, flow.hasKVCache = true, false
 	return flow, Deliver
@@ -139,6 +154,9 @@
 // stepFailed handles a step without a complete response.
 func (flow Flow) stepFailed(now time.Time, step Step, message Failed) (Flow, Step) {
 	flow.reason = message.Reason
+	if step != Deliver && message.Outcome != lwtretry.NotSent {
+		flow.arrivals++
+	}
 	if step == Prefill {
 		if message.Outcome == lwtretry.NotSent {
 			flow.prefills--
--- a/core/lwtrequestflow/requestflow.go
+++ b/core/lwtrequestflow/requestflow.go
@@ -60,9 +60,9 @@
 	gatewayTimeout = 504
 )
 
-// RetryBudget bounds the retries of all requests to a service.
+// RetryBudget bounds what all requests to a service send beyond the first time.
 type RetryBudget interface {
-	// Spend reports whether one more retry is within the budget, and if so spends it.
+	// Spend reports whether one more send is within the budget, and if so spends it.
 	Spend(now time.Time) bool
 }
 
@@ -79,6 +79,13 @@
 	prefills int
 	// attempts counts the servers to which the request was sent.
 	attempts int
+	// arrivals counts what servers have got of the request by the rules of the retry budget: each
+	// send that reached one, except the first prefill that was accepted.
+	arrivals int
+	// prefillAccepted is set once an engine has accepted a prefill.
+	prefillAccepted bool
+	// paid counts the arrivals beyond the first for which the retry budget has been spent.
+	paid int
 	// mayHaveRun is set once an attempt may have run the request.
 	mayHaveRun bool
 	// partiallyDelivered is set once a part of a response has reached the caller.
@@ -173,8 +180,27 @@
 		return flow.giveUp(badGateway, flow.reason)
 	case outcome.MayHaveRun() && flow.route.RetryPolicy == lwtroutetable.RetryIfNotRun:
 		return flow.giveUp(badGateway, flow.reason)
-	case !flow.retryBudget.Spend(now):
-		return flow.giveUp(badGateway, flow.reason+"-no-budget")
 	}
-	return flow.place(now)
+	return flow.placePaid(now)
+}
+
+// placePaid places the request if the budget allows another send.
+func (flow Flow) placePaid(now time.Time) (Flow, Step) {
+	paid, ok := flow.pay(now, flow.arrivals)
+	if !ok {
+		return paid.giveUp(badGateway, flow.reason+"-no-budget")
+	}
+	return paid.place(now)
+}
+
+// pay spends the retry budget until a number of arrivals beyond the first is paid for, and reports
+// whether it sufficed. What has been spent stays spent.
+func (flow Flow) pay(now time.Time, extraArrivals int) (Flow, bool) {
+	for flow.paid < extraArrivals {
+		if !flow.retryBudget.Spend(now) {
+			return flow, false
+		}
+		flow.paid++
+	}
+	return flow, true
 }
