Reserve the memory of an incomplete event before it grows

Cause: a stream reserved memory for its event's buffer after it had allocated it, and kept the reservation when there was not enough, so that all streams together could exceed their part by what they had grown last.

Change: the buffer doubles, and the larger one is reserved first. TestEventMemory checks the bound while 250 events grow.

--- a/io/lwtgateway/deliver.go
+++ b/io/lwtgateway/deliver.go
@@ -151,7 +151,10 @@
 	for {
 		n, err := call.response.Read(buffer)
 		searched := max(len(pending)-maxTerminatorBytes+1, 0)
-		pending = append(pending, buffer[:n]...)
+		var enough bool
+		if pending, enough = memory.append(pending, buffer[:n]); !enough {
+			return call.deliveryFailure(errEventMemoryExhausted, lastID)
+		}
 		complete := errors.Is(err, io.EOF) && call.response.Complete()
 		completeLength := completeEventsLength(pending, searched)
 		if complete && (len(bytes.TrimSpace(pending[completeLength:])) == 0 || !call.isEventStream()) {
@@ -164,8 +167,8 @@
 			}
 			lastID = lastEventID(pending[:completeLength], lastID)
 			pending = keepIncomplete(pending, completeLength)
+			memory.resize(cap(pending))
 		}
-		enough := memory.resize(cap(pending))
 		switch {
 		case complete && len(pending) > 0:
 			return call.deliveryFailure(errEndInsideEvent, lastID)
@@ -175,8 +178,6 @@
 			return call.deliveryFailure(err, lastID)
 		case len(pending) > maxEventBytes:
 			return call.deliveryFailure(errResponseTooLong, lastID)
-		case !enough:
-			return call.deliveryFailure(errEventMemoryExhausted, lastID)
 		}
 	}
 }
--- a/io/lwtgateway/memory.go
+++ b/io/lwtgateway/memory.go
@@ -98,12 +98,29 @@
 }
 
 // resize reserves the memory for a buffer of some capacity, or releases what is no longer needed. It
-// reports whether the memory sufficed.
+// reports whether the memory sufficed; if not, the reservation is as before.
 func (eventShare *eventShare) resize(capacity int) bool {
 	needed := max(int64(capacity)-ownEventBytes, 0)
-	used := eventShare.memory.used.Add(needed - eventShare.reserved)
+	added := needed - eventShare.reserved
+	if eventShare.memory.used.Add(added) > eventShare.memory.limit && added > 0 {
+		eventShare.memory.used.Add(-added)
+		return false
+	}
 	eventShare.reserved = needed
-	return used <= eventShare.memory.limit
+	return true
+}
+
+// append appends bytes to an incomplete event. The memory for a larger buffer is reserved before it is
+// allocated; append reports whether there was enough.
+func (eventShare *eventShare) append(pending, more []byte) ([]byte, bool) {
+	if len(pending)+len(more) > cap(pending) {
+		grown := max(2*cap(pending), len(pending)+len(more))
+		if !eventShare.resize(grown) {
+			return pending, false
+		}
+		pending = append(make([]byte, 0, grown), pending...)
+	}
+	return append(pending, more...), true
 }
 
 // errEventMemoryExhausted reports an incomplete event for which there is no memory.
--- a/io/lwtgateway/memory_test.go
+++ b/io/lwtgateway/memory_test.go
@@ -43,3 +43,34 @@
 		}
 	})
 }
+
+// TestEventMemory guards against buffers for incomplete events that together exceed their memory, also while they grow.
+func TestEventMemory(t *testing.T) {
+	memory := newEventMemory(VMLimits{MemoryMegabytes: 400})
+	shares := make([]eventShare, 250)
+	pending := make([][]byte, len(shares))
+	piece := make([]byte, 4<<10)
+	refused := 0
+	for range 300 {
+		kept := int64(0)
+		for i := range shares {
+			shares[i].memory = memory
+			var enough bool
+			if pending[i], enough = shares[i].append(pending[i], piece); !enough {
+				refused++
+				pending[i] = nil
+				shares[i].resize(0)
+			}
+			kept += int64(cap(pending[i]))
+		}
+		if bound := memory.limit + int64(len(shares))*ownEventBytes; kept > bound {
+			t.Fatalf("%d bytes are kept, at most %d allowed", kept, bound)
+		}
+	}
+	for i := range shares {
+		shares[i].resize(0)
+	}
+	if refused == 0 || memory.used.Load() != 0 {
+		t.Errorf("%d refusals, %d bytes stay reserved", refused, memory.used.Load())
+	}
+}
