Repeat the question for a stream's version until it is answered

The log of one: a daemon that started 2 ms before asks three relays, gets no answer within 200 ms, reads the store too early and rejects the stream; the next stream is answered 0.4 ms after it asks. So the first question or its answer was lost while connections were being opened; which of the two, and why, is not traced. Ruled out: relays that do not know the stream (they answer the next question at once, from the same report).

Change: the question is repeated every 60 ms until the answer or the timeout. Answering twice changes nothing.

--- a/io/lwtgateway/streams.go
+++ b/io/lwtgateway/streams.go
@@ -41,6 +41,8 @@
 	// streamAnswerTimeout is how long a caller that takes up a stream waits for them. A daemon that
 	// has just started opens its connections first.
 	streamAnswerTimeout = 200 * time.Millisecond
+	// streamAskInterval is the time between two questions for the same stream.
+	streamAskInterval = 60 * time.Millisecond
 	// startCheckInterval is the time between two checks whether a daemon that has just started can ask.
 	startCheckInterval = 10 * time.Millisecond
 	// streamReportInterval is the time between two checks for streams to report. Those that began
@@ -112,7 +114,8 @@
 }
 
 // askForStream asks the holders of a stream for its version and waits for the first answer, or
-// streamAnswerTimeout. It returns the number of daemons asked.
+// streamAnswerTimeout. It repeats the question, because messages can be lost while connections are being
+// opened. It returns the number of daemons asked last.
 func (gateway *Gateway) askForStream(ctx context.Context, key lwtstreamversion.Key) (asked int) {
 	ctx, cancel := context.WithTimeout(ctx, streamAnswerTimeout)
 	defer cancel()
@@ -123,14 +126,19 @@
 	}
 	answered := gateway.streamWaiters.wait(key)
 	defer gateway.streamWaiters.answer(key)
-	asked = gateway.sendStreams(gateway.loadExchange.streamHolders(key, askedHolders), streamsMessage{Asked: [][]byte{key[:]}})
-	if asked > 0 {
+	for {
+		asked = gateway.sendStreams(gateway.loadExchange.streamHolders(key, askedHolders), streamsMessage{Asked: [][]byte{key[:]}})
+		if asked == 0 {
+			return 0
+		}
 		select {
 		case <-answered:
+			return asked
 		case <-ctx.Done():
+			return asked
+		case <-time.After(streamAskInterval):
 		}
 	}
-	return asked
 }
 
 // started reports whether this daemon can send messages to others and knows which of them hold streams.
