Give a version with many streams a third decode engine, and let streams wait for it

Cause: a choice pinned to a version had two candidates whatever depended on them, and a refusal cost the client its last try where a wait of 1.4 s would not. Ruled out: holding streams for a whole change of stage (3 s, clients wait 2 s).

Change: eight streams or more keep a third decode engine of their version beside another version; a stream that goes on waits for an engine that will decode before its caller gives up; an engine is used when its own entry says that it has changed, not only when the holder of the lease does.

--- a/core/lwtprefillratio/prefillratio.go
+++ b/core/lwtprefillratio/prefillratio.go
@@ -35,6 +35,12 @@
 	maxDecodeSurplus = 1
 	// minDecodeEngines is the least number of decode engines, so that one may fail.
 	minDecodeEngines = 2
+	// manyStreams is the number of streams of a software version from which it has a third decode engine
+	// beside another version, if it has minEnginesForThird engines.
+	manyStreams        = 8
+	minEnginesForThird = 5
+	// manyStreamsTime is how long a version counts as having many streams after it had.
+	manyStreamsTime = 15 * time.Second
 	// decodeSlotsPerEngine is the number of decode slots per engine of the fleet. Streams need
 	// that many when the mix begins to shift towards them. Engines with more slots serve more
 	// streams, so fewer of them have to decode.
@@ -61,6 +67,8 @@
 	changedAt map[string]time.Time
 	// unreachable holds the ids of the engines that can't be reached now.
 	unreachable map[string]bool
+	// manyStreamsUntil holds, by software version, until when it counts as having many streams.
+	manyStreamsUntil map[string]time.Time
 }
 
 type pendingChange struct {
@@ -72,6 +80,7 @@
 func New() *Planner {
 	return &Planner{
 		firstSeen: map[string]time.Time{}, pending: map[string]pendingChange{}, changedAt: map[string]time.Time{},
+		manyStreamsUntil: map[string]time.Time{},
 	}
 }
 
@@ -94,6 +103,16 @@
 // SetUnreachable sets the ids of the engines that can't be reached now, though they are listed.
 func (planner *Planner) SetUnreachable(ids map[string]bool) { planner.unreachable = ids }
 
+// SetStreams sets the number of streams that the engines of each software version decode now.
+func (planner *Planner) SetStreams(now time.Time, streams map[string]int) {
+	for version, count := range streams {
+		if count >= manyStreams {
+			planner.manyStreamsUntil[version] = now.Add(manyStreamsTime)
+		}
+	}
+	maps.DeleteFunc(planner.manyStreamsUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+}
+
 // RecordSent records that a stage change was sent to its engine.
 func (planner *Planner) RecordSent(now time.Time, change StageChange) {
 	planner.pending[change.Server.ID] = pendingChange{sentAt: now, stage: change.Stage}
@@ -176,9 +195,14 @@
 }
 
 // keptDecodeEngines returns how many of the engines of a software version decode at least while there are
-// several versions: a stream can go on only at its version, also when an engine fails. One engine is
-// left to prefill.
-func keptDecodeEngines(engines int) int { return max(min(minDecodeEngines, engines-1), 0) }
+// several versions: a stream can go on only at its version, also when an engine fails, or two at once if
+// the version has many streams. At least one engine is left to prefill, two beside three that decode.
+func (planner *Planner) keptDecodeEngines(version string, engines int) int {
+	if _, many := planner.manyStreamsUntil[version]; many && engines >= minEnginesForThird {
+		return minDecodeEngines + 1
+	}
+	return max(min(minDecodeEngines, engines-1), 0)
+}
 
 // planChanges returns the changes that lead to the desired number of decode engines, and to both
 // stages within each software version.
@@ -236,7 +260,7 @@
 	for _, version := range slices.Sorted(maps.Keys(versions)) {
 		ofVersion, wanted := versions[version], 1
 		if busy {
-			wanted = keptDecodeEngines(len(ofVersion))
+			wanted = planner.keptDecodeEngines(version, len(ofVersion))
 		}
 		decode := planner.countStage(ofVersion, changes, lwtdiscovery.Decode)
 		switch {
@@ -328,7 +352,7 @@
 	for version, ofVersion := range versions {
 		spare[version] = planner.countStage(ofVersion, changes, lwtdiscovery.Decode)
 		if len(versions) > 1 {
-			spare[version] -= keptDecodeEngines(len(ofVersion))
+			spare[version] -= planner.keptDecodeEngines(version, len(ofVersion))
 		}
 	}
 	return spare
--- a/core/lwtprefillratio/prefillratio_test.go
+++ b/core/lwtprefillratio/prefillratio_test.go
@@ -291,3 +291,45 @@
 		}
 	}
 }
+
+// TestThirdDecodeEngineForManyStreams guards against a version with many streams that can go on nowhere once two of its
+// engines have crashed at the same moment, and against stages that change to and fro with the streams.
+func TestThirdDecodeEngineForManyStreams(t *testing.T) {
+	for _, test := range []struct {
+		versions [][2]int
+		streams  map[string]int
+		want     map[string]int
+	}{
+		{[][2]int{{5, 0}, {5, 0}}, map[string]int{"v1": 24, "v2": 24}, map[string]int{"v1": 3, "v2": 3}},
+		{[][2]int{{5, 0}, {5, 0}}, map[string]int{"v1": 24}, map[string]int{"v1": 3, "v2": 2}},
+		{[][2]int{{4, 0}, {8, 0}}, map[string]int{"v1": 24, "v2": 24}, map[string]int{"v1": 2, "v2": 3}},
+		{[][2]int{{6, 0}, {6, 0}}, map[string]int{"v1": 2, "v2": 2}, map[string]int{"v1": 2, "v2": 2}},
+		{[][2]int{{9, 0}, {0, 9}}, map[string]int{"v1": 40, "v2": 9}, map[string]int{"v1": 3, "v2": 3}},
+	} {
+		servers, planner, now := versionedFleet(test.versions...), lwtprefillratio.New(), start
+		last := start
+		for range 40 {
+			planner.SetStreams(now, test.streams)
+			changes := planner.Plan(now, servers, true)
+			if len(changes) > 0 {
+				last = now
+			}
+			applyChanges(planner, now, servers, changes)
+			now = now.Add(3 * time.Second)
+		}
+		if settled := last.Sub(start); settled > time.Minute {
+			t.Errorf("%+v: stages still change after %v", test, settled)
+		}
+		decode := map[string]int{}
+		for _, server := range servers {
+			if server.Stage == lwtdiscovery.Decode {
+				decode[server.Version]++
+			}
+		}
+		for version, want := range test.want {
+			if decode[version] < want {
+				t.Errorf("%+v: %d engines of %s decode, want %d or more", test, decode[version], version, want)
+			}
+		}
+	}
+}
--- a/core/lwtqueueplacement/engine.go
+++ b/core/lwtqueueplacement/engine.go
@@ -31,8 +31,16 @@
 	avoidUntil time.Time
 	failures   int
 	backoff    backoff
-	// changingSince is when the engine began to change its stage, or zero if it does not.
+	// changingSince is when the engine began to change its stage from changingFrom, or zero if the holder
+	// of the order lease does not report a change.
 	changingSince time.Time
+	changingFrom  lwtdiscovery.Stage
+}
+
+// changing reports whether the engine is changing its stage. Its own entry says when it has changed, some
+// hundred milliseconds before the holder of the order lease does.
+func (engine *engine) changing() bool {
+	return !engine.changingSince.IsZero() && engine.server.Stage == engine.changingFrom
 }
 
 // pendingPrefillTime returns the estimated time to prefill all prompts that were sent to the
--- a/core/lwtqueueplacement/engine_state.go
+++ b/core/lwtqueueplacement/engine_state.go
@@ -15,28 +15,41 @@
 		case !slices.Contains(ids, engine.server.ID):
 			engine.changingSince = time.Time{}
 		case engine.changingSince.IsZero():
-			engine.changingSince = now
+			engine.changingSince, engine.changingFrom = now, engine.server.Stage
 		}
 	}
 }
 
-// decodeRetryAfter returns the retry delay of a stream that can go on only at its version, none of whose
-// decode engines is usable: the time until an engine of that version has changed its stage.
-func (enginePool *EnginePool) decodeRetryAfter(now time.Time, version string) time.Duration {
+// decodeRetryAfter returns the retry delay of a stream that goes on, none of whose decode engines is
+// usable: the time until an engine that may run it has changed its stage. Changing says that one is doing so.
+func (enginePool *EnginePool) decodeRetryAfter(now time.Time, request PlacementRequest) (delay time.Duration, changing bool) {
 	delay, found := enginePool.spec.StageChangeTime+stageOrderDelay, false
 	for _, engine := range enginePool.engines {
-		if engine.server.Version != version || engine.server.Stage != lwtdiscovery.Prefill || engine.server.Draining {
+		if request.VersionFixed && engine.server.Version != request.Version || engine.server.Stage != lwtdiscovery.Prefill ||
+			engine.server.Draining {
 			continue
 		}
 		found = true
-		if !engine.changingSince.IsZero() {
+		if engine.changing() {
+			changing = true
 			delay = min(delay, enginePool.spec.StageChangeTime-now.Sub(engine.changingSince))
 		}
 	}
 	if !found {
-		return noEngineRetryAfter
+		return noEngineRetryAfter, false
 	}
-	return max(delay+stageReportDelay, noEngineRetryAfter)
+	return max(delay, 0) + stageReportDelay, changing
+}
+
+// Streams returns the number of requests that the engines of each software version decode.
+func (enginePool *EnginePool) Streams(now time.Time) map[string]int {
+	streams := map[string]int{}
+	for _, engine := range enginePool.engines {
+		if engine.server.Stage != lwtdiscovery.Prefill {
+			streams[engine.server.Version] += engine.running(now)
+		}
+	}
+	return streams
 }
 
 const (
--- a/core/lwtqueueplacement/placement.go
+++ b/core/lwtqueueplacement/placement.go
@@ -136,6 +136,9 @@
 type Rejection struct {
 	Reason     string
 	RetryAfter time.Duration
+	// ReadyIn is the time until an engine is expected to take the request that is changing its stage now,
+	// or 0 if there is none. The request may wait for it.
+	ReadyIn time.Duration
 }
 
 // Place chooses the engines of a request, all of one software version: what one version writes, an
@@ -167,8 +170,12 @@
 	decodeEngine, running := enginePool.chooseInitialDecode(now, request)
 	if decodeEngine == nil {
 		rejection := enginePool.rejectWithoutEngine(now, lwtdiscovery.Decode, reasonNoDecodeEngine)
-		if rejection.Reason == reasonNoDecodeEngine && request.Continues && request.VersionFixed {
-			rejection.RetryAfter = enginePool.decodeRetryAfter(now, request.Version)
+		if rejection.Reason == reasonNoDecodeEngine && request.Continues {
+			delay, changing := enginePool.decodeRetryAfter(now, request)
+			rejection.RetryAfter = max(delay, noEngineRetryAfter)
+			if changing {
+				rejection.ReadyIn = delay
+			}
 		}
 		return Placement{}, rejection
 	}
@@ -336,7 +343,7 @@
 }
 
 func (enginePool *EnginePool) usable(now time.Time, engine *engine, request PlacementRequest) bool {
-	return !engine.server.Draining && engine.changingSince.IsZero() && !engine.backoff.active(now) &&
+	return !engine.server.Draining && !engine.changing() && !engine.backoff.active(now) &&
 		(!request.VersionFixed || engine.server.Version == request.Version) && !request.Excluded[engine.server.ID] && enginePool.options.RateLimits.Allows(now, engine.server)
 }
 
--- a/core/lwtqueueplacement/version_test.go
+++ b/core/lwtqueueplacement/version_test.go
@@ -137,3 +137,46 @@
 		}
 	}
 }
+
+// TestStreamIsToldWhenAnEngineIsReady guards against a stream that is rejected although an engine of its version will be ready
+// soon, and against an engine that is not used when its entry says that it has changed its stage.
+func TestStreamIsToldWhenAnEngineIsReady(t *testing.T) {
+	servers := []lwtdiscovery.Server{
+		{ID: "a", Version: "v1", Stage: lwtdiscovery.Prefill, AvailabilityZone: "z0"},
+		{ID: "b", Version: "v2", Stage: lwtdiscovery.Prefill, AvailabilityZone: "z0"},
+		{ID: "c", Version: "v2", Stage: lwtdiscovery.Decode, AvailabilityZone: "z0"},
+	}
+	spec := engineSpec
+	spec.StageChangeTime = 3 * time.Second
+	pool := lwtqueueplacement.NewEnginePool(lwtqueueplacement.Options{AvailabilityZone: "z0", PrefillTimePerToken: time.Microsecond})
+	pool.SetServers(spec, servers)
+	request := placementRequest(lwtroutetable.Request{PromptTokens: 100})
+	request.Version, request.VersionFixed, request.Continues = "v1", true, true
+	if _, rejection := pool.Place(start, request); rejection == nil || rejection.ReadyIn != 0 {
+		t.Errorf("no engine is changing: rejection %+v, want one that names no time", rejection)
+	}
+	pool.SetEnginesChangingStage(start, []string{"a"})
+	now := start.Add(2 * time.Second)
+	if _, rejection := pool.Place(now, request); rejection == nil || rejection.ReadyIn < time.Second || rejection.ReadyIn > 2*time.Second {
+		t.Errorf("an engine is ready in a second: rejection %+v, want one that says so", rejection)
+	}
+	request.Continues = false
+	if _, rejection := pool.Place(now, request); rejection == nil || rejection.ReadyIn != 0 {
+		t.Errorf("a new request: rejection %+v, want one at once", rejection)
+	}
+	request.Continues = true
+	// The holder of the order lease still reports the change.
+	servers[0].Stage = lwtdiscovery.Decode
+	pool.SetServers(spec, servers)
+	pool.SetEnginesChangingStage(now, []string{"a"})
+	if placement, rejection := pool.Place(now, request); rejection != nil || placement.Decode.ID != "a" {
+		t.Errorf("the engine has changed: placement %+v, rejection %+v, want the engine", placement, rejection)
+	}
+	if streams := pool.Streams(now); streams["v1"] != 0 {
+		t.Errorf("streams %v before any", streams)
+	}
+	pool.DecodeStarted("a")
+	if streams := pool.Streams(now); streams["v1"] != 1 || streams["v2"] != 0 {
+		t.Errorf("streams %v, want one of v1", streams)
+	}
+}
--- a/core/lwtroutetable/routetable.go
+++ b/core/lwtroutetable/routetable.go
@@ -45,6 +45,9 @@
 	// Objective is the latency objective: the time to the first event, or to the complete
 	// response if the route is not streaming.
 	Objective time.Duration
+	// EventGapTimeout is how long callers wait for the first or the next event of a stream before they give
+	// up.
+	EventGapTimeout time.Duration
 	// Priority is the priority of the route's requests; 0 is the highest.
 	Priority int
 	// MaxAttempts bounds the backend servers to which one request is sent.
--- a/io/lwtgateway/call.go
+++ b/io/lwtgateway/call.go
@@ -43,6 +43,8 @@
 	sentAt        time.Time
 	attemptEvents int
 	firstEventAt  time.Time
+	// lastEventAt is when the caller has received the last events.
+	lastEventAt time.Time
 	// version is the software version that has begun the stream, if versionFixed is set: it may go
 	// on only there. versionUnknown says that no daemon knows it, though several versions serve.
 	version        string
@@ -161,7 +163,7 @@
 	} else {
 		call.freeKVCache()
 	}
-	target, rejection := call.gateway.view.placeRequest(now, call.service, request)
+	target, rejection := call.place(now, request)
 	if rejection != nil {
 		if !call.flow.HasKVCache() {
 			// The estimates that led to the rejection are logged with it.
@@ -175,6 +177,54 @@
 	}
 }
 
+// place places the request. A stream that goes on, and for which an engine is changing its stage, waits for it
+// as long as its caller waits for the next event: after a rejection, many callers do not come back.
+func (call *call) place(now time.Time, request lwtqueueplacement.PlacementRequest) (target, *lwtqueueplacement.Rejection) {
+	waitStart, until := now, call.nextEventDue().Add(-firstEventMargin)
+	for {
+		target, rejection := call.gateway.view.placeRequest(now, call.service, request)
+		waiting := now.After(waitStart)
+		if !mayWait(now, until, rejection, waiting) || !sleep(call.context, placeInterval) {
+			if waiting {
+				lwtlog.Info(call.gateway.logger, "stream-waited", "request", call.request.ID, "version", call.version,
+					"took", now.Sub(waitStart).Round(time.Millisecond), "placed", rejection == nil)
+			}
+			return target, rejection
+		}
+		elapsed := time.Since(now)
+		now = now.Add(elapsed)
+		request.TimeToObjective, request.TimeToDeadline = request.TimeToObjective-elapsed, request.TimeToDeadline-elapsed
+	}
+}
+
+// mayWait reports whether a request may wait for another attempt to place it until a time. It begins to wait only
+// if an engine is expected to be ready by then.
+func mayWait(now, until time.Time, rejection *lwtqueueplacement.Rejection, waiting bool) bool {
+	if rejection == nil || rejection.ReadyIn <= 0 {
+		return false
+	}
+	if waiting {
+		return now.Add(placeInterval).Before(until)
+	}
+	return now.Add(rejection.ReadyIn).Before(until)
+}
+
+// nextEventDue returns when the caller of a stream gives up if it has not received another event.
+func (call *call) nextEventDue() time.Time {
+	lastEventAt := call.exchange.Arrived
+	if call.lastEventAt.After(lastEventAt) {
+		lastEventAt = call.lastEventAt
+	}
+	return lastEventAt.Add(call.route.EventGapTimeout)
+}
+
+const (
+	// placeInterval is the time between two attempts to place a stream that waits for an engine.
+	placeInterval = 20 * time.Millisecond
+	// firstEventMargin is the time from the placement of a stream that goes on to its next event.
+	firstEventMargin = 200 * time.Millisecond
+)
+
 func (call *call) placementRequest() lwtqueueplacement.PlacementRequest {
 	return lwtqueueplacement.PlacementRequest{
 		Request: call.request, SingleEngine: call.flow.SingleEngine(), Excluded: call.excludedServers,
--- a/io/lwtgateway/deliver.go
+++ b/io/lwtgateway/deliver.go
@@ -272,6 +272,7 @@
 			return false
 		}
 	}
+	call.lastEventAt = time.Now()
 	return call.exchange.Write(events) == nil
 }
 
--- a/io/lwtgateway/orders.go
+++ b/io/lwtgateway/orders.go
@@ -160,6 +160,7 @@
 		}
 		busy := orderSender.gateway.view.enginesBusy(now, name)
 		servers := orderSender.gateway.view.servers(name)
+		planner.SetStreams(now, orderSender.gateway.view.streamCounts(now, name))
 		planner.SetUnreachable(orderSender.gateway.reachability.unreachable(now, servers))
 		for _, order := range planner.Plan(now, servers, busy) {
 			planner.RecordSent(now, order)
--- a/io/lwtgateway/view.go
+++ b/io/lwtgateway/view.go
@@ -355,6 +355,17 @@
 	return found && enginePool.Busy(now)
 }
 
+// streamCounts returns the number of requests that the engines of each software version of a service decode.
+func (view *view) streamCounts(now time.Time, service string) map[string]int {
+	view.mutex.Lock()
+	defer view.mutex.Unlock()
+	enginePool, found := view.enginePools[service]
+	if !found {
+		return nil
+	}
+	return enginePool.Streams(now)
+}
+
 // setEnginesChangingStage sets the engines whose stage is being changed.
 func (view *view) setEnginesChangingStage(now time.Time, ids []string) {
 	view.mutex.Lock()
