Take rows of the quarantine from before a restore for missing at once

Cause: after the store has come back from an older copy, a long poll of the quarantine's table goes on for up to 5 s if the version has passed its own by then. The daemon, which knows the new era from another table within 0.4 s, took the row that it had written before for present until the poll ended, then waited the repair delay. Ruled out: a late write response of the earlier era (the log of a failing run has none), the repair delay (1 s).

Change: a row of an earlier era than the store's counts as missing.

--- a/io/lwtgateway/quarantine_rows.go
+++ b/io/lwtgateway/quarantine_rows.go
@@ -175,16 +175,17 @@
 	quarantineRows.rows[row.Key] = row
 }
 
-// holds reports whether a row has an entry or one that supersedes it.
-func (quarantineRows *quarantineRows) holds(now time.Time, entry lwtquarantine.Entry) bool {
+// holds reports whether a row has an entry or one that supersedes it. Era is the store's: what was read or
+// written before it came back from an older copy may be gone, also while a poll of the table goes on.
+func (quarantineRows *quarantineRows) holds(now time.Time, era int64, entry lwtquarantine.Entry) bool {
 	quarantineRows.mutex.Lock()
 	defer quarantineRows.mutex.Unlock()
-	return quarantineRows.holdsLocked(now, entry)
+	return quarantineRows.holdsLocked(now, era, entry)
 }
 
-func (quarantineRows *quarantineRows) holdsLocked(now time.Time, entry lwtquarantine.Entry) bool {
+func (quarantineRows *quarantineRows) holdsLocked(now time.Time, era int64, entry lwtquarantine.Entry) bool {
 	row, found := quarantineRows.rows[quarantineRowKey(entry.Key)]
-	if !found {
+	if !found || row.Era < era {
 		return false
 	}
 	stored, err := decodeQuarantineRow(now, row)
@@ -192,13 +193,13 @@
 }
 
 // overdue returns the entries that the store has lacked for quarantineRepairDelay.
-func (quarantineRows *quarantineRows) overdue(now time.Time, entries []lwtquarantine.Entry) []lwtquarantine.Entry {
+func (quarantineRows *quarantineRows) overdue(now time.Time, era int64, entries []lwtquarantine.Entry) []lwtquarantine.Entry {
 	quarantineRows.mutex.Lock()
 	defer quarantineRows.mutex.Unlock()
 	missing := map[string]time.Time{}
 	var overdue []lwtquarantine.Entry
 	for _, entry := range entries {
-		if quarantineRows.holdsLocked(now, entry) {
+		if quarantineRows.holdsLocked(now, era, entry) {
 			continue
 		}
 		key := quarantineRowKey(entry.Key)
@@ -233,7 +234,7 @@
 	if !gateway.loadExchange.readsStore() {
 		return
 	}
-	gateway.storeQuarantine(gateway.quarantineRows.overdue(now, gateway.view.quarantineEntries(now)))
+	gateway.storeQuarantine(gateway.quarantineRows.overdue(now, gateway.storeEra.Load(), gateway.view.quarantineEntries(now)))
 	for _, row := range gateway.quarantineRows.expired(now) {
 		if err := gateway.store.Remove(row, StoreTimeout); err != nil {
 			lwtlog.Info(gateway.logger, "quarantine-row-not-removed", "key", row.Key, "err", err)
@@ -264,7 +265,7 @@
 			return err
 		}
 		gateway.quarantineRows.set(current)
-		if applied || gateway.quarantineRows.holds(time.Now(), entry) {
+		if applied || gateway.quarantineRows.holds(time.Now(), gateway.storeEra.Load(), entry) {
 			return nil
 		}
 		row.Version = current.Version
