Write the versions of streams again after a restore of the store

Ruled out: the interval of the rows, they are written at once in a new era.

Change: what was written counts only in the era in which it was.

Before: TestStreamsAfterRestoredStore, the store lacks the streams 8 s after the restore, 3 s wanted. After: it passes.

--- a/io/lwtgateway/gateway.go
+++ b/io/lwtgateway/gateway.go
@@ -20,6 +20,7 @@
 	"lacewingtide/io/lwthttp"
 	"lacewingtide/io/lwtlog"
 	"lacewingtide/io/lwtmetric"
+	"lacewingtide/platform"
 )
 
 // Gateway is an entry daemon: it accepts callers' requests and forwards them to backend
@@ -69,7 +70,7 @@
 	// rowsAdopted says that the daemons' rows and the streams have been read once.
 	rowsAdopted atomic.Bool
 	// writtenStreams is the row of this daemon's streams that was last written, or nil.
-	writtenStreams atomic.Pointer[[]byte]
+	writtenStreams atomic.Pointer[platform.Row]
 	// storeEra is the highest known era of the store, 0 before the first response. eraChanged has an
 	// element if it has risen after that.
 	storeEra   atomic.Int64
--- a/io/lwtgateway/member_rows.go
+++ b/io/lwtgateway/member_rows.go
@@ -165,21 +165,29 @@
 	if err != nil {
 		return err
 	}
-	if written := gateway.writtenStreams.Load(); written == nil || !bytes.Equal(*written, streams) {
-		transaction.Put = append(transaction.Put, platform.Row{Table: streamTable, Key: gateway.settings.Name, Value: streams})
+	row := platform.Row{Table: streamTable, Key: gateway.settings.Name, Value: streams}
+	if !gateway.isWritten(row) {
+		transaction.Put = append(transaction.Put, row)
 	}
 	result, err := gateway.store.Commit(transaction, timeout)
-	if err == nil && result.Applied {
-		gateway.writtenStreams.Store(&streams)
+	if err == nil && result.Applied && len(transaction.Put) > 1 {
+		row.Era = result.Position.Era
+		gateway.writtenStreams.Store(&row)
 	}
 	return err
 }
 
+// isWritten reports whether the row of this daemon's streams that was last written has the content of a row,
+// and the store has not come back from an older copy since.
+func (gateway *Gateway) isWritten(row platform.Row) bool {
+	written := gateway.writtenStreams.Load()
+	return written != nil && bytes.Equal(written.Value, row.Value) && written.Era >= gateway.storeEra.Load()
+}
+
 // streamsUnwritten reports whether the store lacks a stream of this daemon.
 func (gateway *Gateway) streamsUnwritten(now time.Time) bool {
 	streams, err := encodeStreamRow(gateway.view.ownStreams(now))
-	written := gateway.writtenStreams.Load()
-	return err == nil && (written == nil || !bytes.Equal(*written, streams))
+	return err == nil && !gateway.isWritten(platform.Row{Value: streams})
 }
 
 // serving reports whether callers may send requests to this daemon.
