Keep the backoff of a server while its entry is missing

A server whose entry lapses during an outage of the store and comes back with the same start got requests during the time in which it wants none (BUDGET). Ruled out: the limits that servers name, they are kept apart.

Change: backoffs are kept by incarnation until they end.

--- a/core/lwtqueueplacement/placement.go
+++ b/core/lwtqueueplacement/placement.go
@@ -29,6 +29,7 @@
 	engines []*engine
 	// versions holds the software versions of the engines, sorted.
 	versions []string
+	backoffs backoffs
 	// prefillSecondsPerToken is the estimated time in which a prefill engine prefills one
 	// token, in seconds.
 	prefillSecondsPerToken float64
@@ -44,7 +45,7 @@
 	}
 	return &EnginePool{
 		options: options, enginesByID: map[string]*engine{}, prefillSecondsPerToken: options.PrefillTimePerToken.Seconds(),
-		prefixHitRate: initialPrefixHitRate,
+		prefixHitRate: initialPrefixHitRate, backoffs: backoffs{},
 	}
 }
 
@@ -60,7 +61,9 @@
 		}
 		pooled, found := enginePool.enginesByID[server.ID]
 		if !found || !pooled.server.SameIncarnation(server) {
-			pooled = &engine{hash: hash(server.ID), prefixSentAt: map[uint64]time.Time{}}
+			pooled = &engine{
+				hash: hash(server.ID), prefixSentAt: map[uint64]time.Time{}, backoff: enginePool.backoffs[incarnationOf(server)],
+			}
 		}
 		pooled.server = server
 		engines[server.ID] = pooled
--- a/core/lwtqueueplacement/service.go
+++ b/core/lwtqueueplacement/service.go
@@ -14,6 +14,7 @@
 	rateLimits       RateLimits
 	serversByID      map[string]*pooledServer
 	servers          []*pooledServer
+	backoffs         backoffs
 }
 
 type pooledServer struct {
@@ -31,7 +32,7 @@
 	}
 	return &ServerPool{
 		availabilityZone: options.AvailabilityZone, rateLimits: options.RateLimits,
-		serversByID: map[string]*pooledServer{},
+		serversByID: map[string]*pooledServer{}, backoffs: backoffs{},
 	}
 }
 
@@ -43,7 +44,7 @@
 	for _, server := range servers {
 		pooled, found := serverPool.serversByID[server.ID]
 		if !found || !pooled.server.SameIncarnation(server) {
-			pooled = &pooledServer{}
+			pooled = &pooledServer{backoff: serverPool.backoffs[incarnationOf(server)]}
 		}
 		pooled.server = server
 		serversByID[server.ID] = pooled
@@ -92,7 +93,7 @@
 // most for maxBackoff.
 func (serverPool *ServerPool) ApplyBackoff(now time.Time, id string, duration time.Duration) {
 	if pooledServer, found := serverPool.serversByID[id]; found {
-		pooledServer.backoff = pooledServer.backoff.extended(now, duration)
+		pooledServer.backoff = serverPool.backoffs.extend(now, pooledServer.server, duration)
 	}
 }
 
--- a/core/lwtqueueplacement/track.go
+++ b/core/lwtqueueplacement/track.go
@@ -122,7 +122,7 @@
 // most for maxBackoff.
 func (enginePool *EnginePool) ApplyBackoff(now time.Time, id string, duration time.Duration) {
 	if engine, found := enginePool.enginesByID[id]; found {
-		engine.backoff = engine.backoff.extended(now, duration)
+		engine.backoff = enginePool.backoffs.extend(now, engine.server, duration)
 	}
 }
 
