Drop log lines that come after the log is closed

Cause: AsyncWriter.Close closed the channel that Write sends on. A goroutine that outlived the shutdown by a line (a timer, a connection that ends late) brought the process down with "send on closed channel", after the exit code had been decided.

Ruled out: waiting for every writer before Close, which needs each of them to be known; the shutdown is bounded in time.

Change: Close marks the writer as closed under its mutex, and later lines are dropped. Close may be called twice.

--- a/io/lwtlog/async_writer.go
+++ b/io/lwtlog/async_writer.go
@@ -7,8 +7,8 @@
 )
 
 // AsyncWriter buffers lines for a writer that may be slow. Write never blocks: lines that
-// don't fit into the buffer are dropped, and their number is logged. It is safe for
-// concurrent use, but Write must not be called after Close.
+// don't fit into the buffer are dropped, and their number is logged. Lines after Close are
+// dropped too. It is safe for concurrent use.
 type AsyncWriter struct {
 	mutex   sync.Mutex
 	pending []byte
@@ -17,6 +17,7 @@
 	dropped int
 	// maxBytes is the maximum length of pending.
 	maxBytes int
+	closed   bool
 	wake     chan struct{}
 	done     chan struct{}
 }
@@ -32,12 +33,15 @@
 // Write implements io.Writer. It always reports success.
 func (writer *AsyncWriter) Write(line []byte) (int, error) {
 	writer.mutex.Lock()
+	defer writer.mutex.Unlock()
+	if writer.closed {
+		return len(line), nil
+	}
 	if len(writer.pending)+len(line) > writer.maxBytes {
 		writer.dropped++
 	} else {
 		writer.pending = append(writer.pending, line...)
 	}
-	writer.mutex.Unlock()
 	select {
 	case writer.wake <- struct{}{}:
 	default:
@@ -45,9 +49,14 @@
 	return len(line), nil
 }
 
-// Close writes the pending lines and stops the goroutine.
+// Close writes the pending lines and stops the goroutine. It may be called more than once.
 func (writer *AsyncWriter) Close() {
-	close(writer.wake)
+	writer.mutex.Lock()
+	if !writer.closed {
+		writer.closed = true
+		close(writer.wake)
+	}
+	writer.mutex.Unlock()
 	<-writer.done
 }
 
