Be ready once servers are known, not after an empty message

A daemon that starts while the store rejects it learns the servers from its peers. Each message about servers counted as the knowledge of all of them, also one without any: the daemon said it was ready, and rejected each request that the platform sent it.

Change: servers are known once there is one, or once the store's whole list has been read, which may be empty.

TestReadyNeedsServers: "ready after an empty message" before, passes now.

--- a/io/lwtgateway/store.go
+++ b/io/lwtgateway/store.go
@@ -333,6 +333,7 @@
 }
 
 func (gateway *Gateway) applyServerSnapshot(now time.Time, rows []platform.Row) {
+	defer gateway.view.setServersKnown()
 	var returned []serverChange
 	gateway.view.updateServers(func(serverSet lwtdiscovery.ServerSet) lwtdiscovery.ServerSet {
 		var servers []lwtdiscovery.Server
--- a/io/lwtgateway/view.go
+++ b/io/lwtgateway/view.go
@@ -88,14 +88,23 @@
 	return view.configRow
 }
 
-// updateServers replaces the set of backend servers with the result of update.
+// updateServers replaces the set of backend servers with the result of update. They count as known once there
+// are any.
 func (view *view) updateServers(update func(lwtdiscovery.ServerSet) lwtdiscovery.ServerSet) {
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
-	view.serverSet, view.serversKnown = update(view.serverSet), true
+	view.serverSet = update(view.serverSet)
+	view.serversKnown = view.serversKnown || len(view.serverSet.Servers()) > 0
 	view.rebuildLocked()
 }
 
+// setServersKnown records that the whole list of servers has been read, which may be empty.
+func (view *view) setServersKnown() {
+	view.mutex.Lock()
+	defer view.mutex.Unlock()
+	view.serversKnown = true
+}
+
 // expireServers removes the servers whose grace period has ended. It returns the number of servers
 // left, and whether any was removed.
 func (view *view) expireServers(now time.Time) (left int, expired bool) {
--- a/io/lwtgateway/view_test.go
+++ b/io/lwtgateway/view_test.go
@@ -42,6 +42,28 @@
 	}
 }
 
+// TestReadyNeedsServers guards against a daemon that says it is ready after a message about servers that
+// names none, while the store rejects it: it would reject every request.
+func TestReadyNeedsServers(t *testing.T) {
+	gateway := &Gateway{view: testView(), logger: log.NewNopLogger(), serverRows: map[string]serverRowState{}}
+	gateway.view.setConfig(testConfig(1), platform.Row{})
+	gateway.applyServerChanges(time.Now(), nil, "d1")
+	if gateway.view.ready() {
+		t.Error("ready after an empty message")
+	}
+	entry := `{"service":"s","address":"10.0.0.1:1","zone":"a","version":"v1","slots":1,"state":"ready","coldRemainingMs":0,"seq":1}`
+	gateway.applyServerChanges(time.Now(), []serverChange{{Row: platform.Row{Table: "servers", Key: "i", Value: []byte(entry), Version: 1}}}, "d1")
+	if !gateway.view.ready() {
+		t.Error("not ready after a message with a server")
+	}
+	emptyStore := &Gateway{view: testView(), logger: log.NewNopLogger(), serverRows: map[string]serverRowState{}}
+	emptyStore.view.setConfig(testConfig(1), platform.Row{})
+	emptyStore.applyServerSnapshot(time.Now(), nil)
+	if !emptyStore.view.ready() {
+		t.Error("not ready after the store's list, which is empty")
+	}
+}
+
 // TestConnectionsAreShared guards against daemons that together open more connections to a
 // server than its limit.
 func TestConnectionsAreShared(t *testing.T) {
