Keep the orders of two daemons apart by the time that the settings name

Cause: lease-milliseconds was read from the settings and used by nothing. A lease that expires keeps two holders apart by its 10 s; one that a planned shutdown releases was taken at the next look, up to 1 s later.

Ruled out: no release at a planned shutdown, which would leave the engines without orders for 10 s after each.

Change: lwtlease.SetHandover. After a release, the successor waits for the time from the settings, measured from when it saw the release. A reload of the settings changes it. A row that was never written, as on the first start, needs no wait.

TestReleasedLeaseKeepsOrdersApart shows the wait, and none without the setting.

With it: order-sent says accepted=true no longer when the call has failed.

--- a/core/lwtlease/lease_test.go
+++ b/core/lwtlease/lease_test.go
@@ -49,6 +49,35 @@
 	}
 }
 
+// TestReleasedLeaseKeepsOrdersApart guards against a successor that sends orders right after those of
+// the daemon that released the lease.
+func TestReleasedLeaseKeepsOrdersApart(t *testing.T) {
+	for _, handover := range []time.Duration{0, 3 * time.Second} {
+		seen := time.Now()
+		model, _ := lwtlease.New("g1", self).Update(seen, lwtlease.SetMembers{Names: []string{self}})
+		model, _ = model.Update(seen, lwtlease.SetHandover{Minimum: handover})
+		released := lwtlease.Row{Version: 4, Fencing: 7}
+		taken := time.Time{}
+		for now := seen; taken.IsZero() && now.Before(seen.Add(time.Minute)); now = now.Add(lwtlease.TickInterval) {
+			var cmds []lwtlease.Cmd
+			model, cmds = model.Update(now, lwtlease.Tick{})
+			for len(cmds) > 0 {
+				cmd := cmds[0]
+				cmds = cmds[1:]
+				switch cmd := cmd.(type) {
+				case lwtlease.ReadRow:
+					model, cmds = model.Update(now, lwtlease.RowRead{RequestID: cmd.RequestID, Row: released})
+				case lwtlease.Commit:
+					taken = now
+				}
+			}
+		}
+		if wait := taken.Sub(seen); taken.IsZero() || wait < handover || wait > handover+time.Second {
+			t.Errorf("taken over %s after the release was seen, want about %s", wait, handover)
+		}
+	}
+}
+
 // TestStandbysReadLittle guards against store reads by every daemon for every group,
 // which would overload the store at the target size.
 func TestStandbysReadLittle(t *testing.T) {
--- a/core/lwtlease/message.go
+++ b/core/lwtlease/message.go
@@ -1,6 +1,10 @@
 package lwtlease
 
-import "lacewingtide/core/lwtdeclaredstate"
+import (
+	"time"
+
+	"lacewingtide/core/lwtdeclaredstate"
+)
 
 // Row is the content of the table row of a lease.
 type Row struct {
@@ -22,7 +26,7 @@
 	WriteSequence int64 `json:"write"`
 }
 
-// Msg is a message to a Model: Tick, SetMembers, RowRead, CommitResult,
+// Msg is a message to a Model: Tick, SetMembers, SetHandover, RowRead, CommitResult,
 // RaiseFencing or Release.
 type Msg interface{ leaseMsg() }
 
@@ -32,6 +36,11 @@
 // SetMembers sets the live daemons, named as in Row.Holder.
 type SetMembers struct{ Names []string }
 
+// SetHandover sets the minimum time between the release of the lease by another daemon, as this
+// daemon saw it, and its acquisition by this one. The time keeps the orders of two daemons apart
+// when a planned shutdown releases the lease before it expires. It is 0 at first.
+type SetHandover struct{ Minimum time.Duration }
+
 // RowRead is the result of a ReadRow.
 type RowRead struct {
 	RequestID int64
@@ -66,6 +75,7 @@
 func (RaiseFencing) leaseMsg() {}
 func (Tick) leaseMsg()         {}
 func (SetMembers) leaseMsg()   {}
+func (SetHandover) leaseMsg()  {}
 func (RowRead) leaseMsg()      {}
 func (CommitResult) leaseMsg() {}
 func (Release) leaseMsg()      {}
--- a/core/lwtlease/model.go
+++ b/core/lwtlease/model.go
@@ -12,6 +12,9 @@
 	group   string
 	self    string
 	members []string
+	// handover is the minimum time between a release of the lease, as this daemon saw it, and its
+	// acquisition.
+	handover time.Duration
 	// rank is the daemon's rank among the members other than the holder.
 	rank     int
 	rowKnown bool
@@ -83,6 +86,8 @@
 	case SetMembers:
 		model.members = msg.Names
 		model.rank = model.currentRank()
+	case SetHandover:
+		model.handover = msg.Minimum
 	case RaiseFencing:
 		model.fencingFloor = max(model.fencingFloor, msg.Above)
 		return model.sendNextRequest(now)
@@ -173,6 +178,8 @@
 		wait += AddClockDrift(max(model.row.TTL.Std(), TTL))
 	case model.row.Holder != "":
 		wait += AddClockDrift(model.row.TTL.Std())
+	case model.row.Version > 0:
+		wait += AddClockDrift(model.handover)
 	}
 	return now.Sub(model.rowSeenAt) >= wait
 }
--- a/io/lwtgateway/orders.go
+++ b/io/lwtgateway/orders.go
@@ -45,6 +45,7 @@
 func newOrderSender(gateway *Gateway) *orderSender {
 	orderSender := &orderSender{gateway: gateway, planners: map[string]*lwtprefillratio.Planner{}}
 	model := lwtlease.New(orderGroup, gateway.members.self.leaseHolder())
+	model, _ = model.Update(time.Now(), lwtlease.SetHandover{Minimum: gateway.settings.Bounds.minOrderPause()})
 	orderSender.loop = lwteventloop.New(model, leaseQueueLength, orderSender.execute)
 	return orderSender
 }
@@ -54,6 +55,11 @@
 	orderSender.loop.TrySend(leaseMembers(live))
 }
 
+// setMinPause sets the minimum time between the orders of two daemons.
+func (orderSender *orderSender) setMinPause(minPause time.Duration) {
+	orderSender.loop.TrySend(lwtlease.SetHandover{Minimum: minPause})
+}
+
 // serve renews the lease and sends orders until ctx is canceled.
 func (orderSender *orderSender) serve(ctx context.Context) error {
 	go func() {
@@ -65,7 +71,7 @@
 	return orderSender.loop.Serve(ctx)
 }
 
-// releaseLease releases the lease, so that another daemon can acquire it immediately.
+// releaseLease releases the lease, so that another daemon can acquire it before it expires.
 func (orderSender *orderSender) releaseLease() { orderSender.loop.TrySend(lwtlease.Release{}) }
 
 func (orderSender *orderSender) execute(ctx context.Context, cmd lwtlease.Cmd) {
@@ -214,7 +220,7 @@
 	gateway.metrics.Count("orders")
 	lwtlog.Info(gateway.logger, "order-sent", "server", server.ID, "stage", string(order.Stage),
 		"fencing", lease.Fencing, "expected-orders", status.AcceptedOrders, "status", statusCode,
-		"accepted", statusCode == fasthttp.StatusAccepted || statusCode == fasthttp.StatusOK, "err", err)
+		"accepted", err == nil && (statusCode == fasthttp.StatusAccepted || statusCode == fasthttp.StatusOK), "err", err)
 }
 
 // fetchEngineStatus fetches the current status of an engine.
--- a/io/lwtgateway/reload.go
+++ b/io/lwtgateway/reload.go
@@ -48,6 +48,7 @@
 	if changed {
 		gateway.bounds.Store(&settings.Bounds)
 		gateway.view.setRetryLimits(settings.Bounds.retryBudgetLimits())
+		gateway.orderSender.setMinPause(settings.Bounds.minOrderPause())
 	}
 	if changed || cause == "signal" {
 		lwtlog.Info(gateway.logger, "settings-read", "cause", cause, "bounds-changed", changed)
--- a/io/lwtgateway/settings.go
+++ b/io/lwtgateway/settings.go
@@ -74,6 +74,9 @@
 	RetryBudgetWindowSeconds float64 `toml:"retry-window-seconds"`
 }
 
+// minOrderPause returns the minimum time between orders of two different daemons.
+func (bounds Bounds) minOrderPause() time.Duration { return seconds(bounds.LeaseMilliseconds / 1000) }
+
 func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
 
 // Defaults of settings that are not given.
@@ -128,6 +131,7 @@
 		require(err == nil, address.key, "%q must be IP:port", address.text)
 	}
 	require(settings.Bounds.GraceSeconds > 0, "bounds.grace-seconds", "must be above 0")
+	require(settings.Bounds.LeaseMilliseconds >= 0, "bounds.lease-milliseconds", "must not be negative")
 	require(settings.Bounds.AddressTTLSeconds > 0, "bounds.address-seconds", "must be above 0")
 	require(settings.Bounds.RetryBudgetWindowSeconds > 0, "bounds.retry-window-seconds", "must be above 0")
 	require(settings.VM.Descriptors > reservedDescriptors, "vm.descriptors", "must be above %d", reservedDescriptors)
