Give TestReload an order sender, and keep wire names out of a gateway test

TestReadyNeedsServers had an entry of the platform's protocol in io/lwtgateway, which TestWireNamesStayInside rejects.

Ruled out: a fault of the daemon. New always makes the order sender before the settings are watched.

A changed pause is now sent to the model of the lease until it is taken (Send), not dropped if its queue is full (TrySend): it is not sent again later, other than the members are.

After: go test -race ./io/lwtgateway and the tests of platform that read the entry pass; lint finds nothing.

--- a/io/lwtgateway/orders.go
+++ b/io/lwtgateway/orders.go
@@ -56,8 +56,8 @@
 }
 
 // setMinPause sets the minimum time between the orders of two daemons.
-func (orderSender *orderSender) setMinPause(minPause time.Duration) {
-	orderSender.loop.TrySend(lwtlease.SetHandover{Minimum: minPause})
+func (orderSender *orderSender) setMinPause(ctx context.Context, minPause time.Duration) {
+	orderSender.loop.Send(ctx, lwtlease.SetHandover{Minimum: minPause})
 }
 
 // serve renews the lease and sends orders until ctx is canceled.
--- a/io/lwtgateway/reload.go
+++ b/io/lwtgateway/reload.go
@@ -31,14 +31,14 @@
 		case <-ctx.Done():
 			return
 		case <-signals:
-			gateway.reload(path, "signal")
+			gateway.reload(ctx, path, "signal")
 		case <-ticker.C:
-			gateway.reload(path, "interval")
+			gateway.reload(ctx, path, "interval")
 		}
 	}
 }
 
-func (gateway *Gateway) reload(path, cause string) {
+func (gateway *Gateway) reload(ctx context.Context, path, cause string) {
 	settings, err := LoadSettings(path)
 	if err != nil {
 		lwtlog.Warn(gateway.logger, "settings-ignored", "cause", cause, "err", err)
@@ -48,7 +48,7 @@
 	if changed {
 		gateway.bounds.Store(&settings.Bounds)
 		gateway.view.setRetryLimits(settings.Bounds.retryBudgetLimits())
-		gateway.orderSender.setMinPause(settings.Bounds.minOrderPause())
+		gateway.orderSender.setMinPause(ctx, settings.Bounds.minOrderPause())
 	}
 	if changed || cause == "signal" {
 		lwtlog.Info(gateway.logger, "settings-read", "cause", cause, "bounds-changed", changed)
--- a/io/lwtgateway/view_test.go
+++ b/io/lwtgateway/view_test.go
@@ -51,8 +51,12 @@
 	if gateway.view.ready() {
 		t.Error("ready after an empty message")
 	}
-	entry := `{"service":"s","address":"10.0.0.1:1","zone":"a","version":"v1","slots":1,"state":"ready","coldRemainingMs":0,"seq":1}`
-	gateway.applyServerChanges(time.Now(), []serverChange{{Row: platform.Row{Table: "servers", Key: "i", Value: []byte(entry), Version: 1}}}, "d1")
+	entry, err := os.ReadFile("../../platform/testdata/server-entry.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	change := serverChange{Row: platform.Row{Table: "servers", Key: "i", Value: entry, Version: 1}}
+	gateway.applyServerChanges(time.Now(), []serverChange{change}, "d1")
 	if !gateway.view.ready() {
 		t.Error("not ready after a message with a server")
 	}
@@ -126,6 +130,8 @@
 // ones that do.
 func TestReload(t *testing.T) {
 	gateway := &Gateway{view: testView(), logger: log.NewNopLogger()}
+	gateway.members = newMembers(gateway.settings, 1)
+	gateway.orderSender = newOrderSender(gateway)
 	gateway.bounds.Store(&Bounds{GraceSeconds: 8})
 	path := filepath.Join(t.TempDir(), "settings.toml")
 	write := func(text string) {
@@ -134,13 +140,13 @@
 		}
 	}
 	write(goodSettings + "[bounds]\ngrace-seconds = 5\nretry-extra = 7\n")
-	gateway.reload(path, "interval")
+	gateway.reload(t.Context(), path, "interval")
 	if bounds := gateway.bounds.Load(); bounds.GraceSeconds != 5 || gateway.view.retryLimits.Extra != 7 {
 		t.Errorf("after a change of the settings: bounds %+v, want 5 s of grace; retry limits %+v, want 7 extra retries",
 			bounds, gateway.view.retryLimits)
 	}
 	write(goodSettings + "[bounds]\ngrace-seconds = -1\n")
-	gateway.reload(path, "signal")
+	gateway.reload(t.Context(), path, "signal")
 	if grace := gateway.bounds.Load().GraceSeconds; grace != 5 {
 		t.Errorf("grace period after invalid settings: %v, want 5", grace)
 	}
