Handle the signal to reload from the start of the daemon on

Trace: d1 was terminated at 2.03 s and had stopped at 3.685 s; the soak started it again and sent it SIGHUP at 3.689 s; its log has no second daemon-started. The daemon handled SIGHUP only after it had read its settings and built the gateway. A SIGHUP before that ends a process.

Ruled out: a crash (nothing on standard error), an address in use (the log would say so), the pause at 6.2 s (d1 was gone then).

Change: the signals are handled before the settings are read, so that a reload while the daemon starts comes after the start. What is left is the time until main runs, about 2 ms, in which no Go program handles a signal.

--- a/cmd/lacewingtide-entry/main.go
+++ b/cmd/lacewingtide-entry/main.go
@@ -36,6 +36,12 @@
 
 // Execute implements flags.Commander.
 func (command *serveCommand) Execute([]string) error {
+	// A signal to reload that arrives before it is handled ends the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
 	settings, err := lwtgateway.LoadSettings(command.Settings)
 	if err != nil {
 		return err
@@ -54,11 +60,6 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	signal.Ignore(syscall.SIGPIPE)
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	go gateway.WatchSettings(ctx, command.Settings, reload)
 	return gateway.Run(ctx)
 }
