Keep no server as expired if others have read the store since the own failure

Trace: edge-ro-central-d-19 had one call rejected with 503 at 8.1 s and made no other one, as three daemons read the store for all. At 20.4 s it read the list of servers, version 497, from which the server was gone since 478, and kept it for 2.5 s: it took the 12 s between its own two calls for an outage of the store, in which entries expire though their servers live.

Change: there was no outage if others have gone on to read the table for this daemon after its last failure, the last time no longer ago than an entry takes to expire.

--- a/io/lwtgateway/store.go
+++ b/io/lwtgateway/store.go
@@ -65,6 +65,8 @@
 	// era is the era of the store in which version was read.
 	era     int64
 	failing bool
+	// failedAt is when the last call failed.
+	failedAt time.Time
 	// applySnapshot applies all rows of the table, applyChanges the changed rows.
 	applySnapshot func(now time.Time, rows []platform.Row)
 	applyChanges  func(now time.Time, rows []platform.Row)
@@ -128,9 +130,10 @@
 			lwtlog.Warn(tableFollower.gateway.logger, "store-lost", "table", tableFollower.table,
 				"version", tableFollower.version, "err", err)
 		}
-		tableFollower.failing = true
+		tableFollower.failing, tableFollower.failedAt = true, time.Now()
 		return false
 	}
+	coveredUntil := time.Unix(0, tableFollower.coveredUntil.Load())
 	if tableFollower.onRead != nil {
 		tableFollower.onRead(sentAt)
 	}
@@ -139,16 +142,31 @@
 	previous := tableFollower.recordResponse(sentAt, restored)
 	if tableFollower.failing || restored && !previous.Until.IsZero() {
 		tableFollower.failing = false
-		// Changes in the first response may be a consequence of the outage, and entries may be
-		// missing because they were written after the copy.
-		tableFollower.onRecovered(lwtdiscovery.Outage{Start: previous.Until, End: time.Now()})
-		lwtlog.Info(tableFollower.gateway.logger, "store-regained", "table", tableFollower.table,
-			"version", tableFollower.version)
+		tableFollower.recover(time.Now(), previous.Until, coveredUntil, restored)
 	}
 	apply(time.Now())
 	return true
 }
 
+// recover handles the first response of the store after a failure, or from an older copy of the table.
+// Changes in this response may be a consequence of the outage, and entries may be missing because they were
+// written after the copy. There was no outage of the store if others have gone on to read the table for this
+// daemon after its last failure.
+func (tableFollower *tableFollower) recover(now, ownUntil, coveredUntil time.Time, restored bool) {
+	outage := lwtdiscovery.Outage{Start: ownUntil, End: now}
+	if !restored && coveredUntil.After(outage.Start) {
+		outage.Start = coveredUntil
+	}
+	othersReached := coveredUntil.After(tableFollower.failedAt) && now.Sub(coveredUntil) <= maxReachableGap
+	expiryPossible := restored || !othersReached
+	if expiryPossible {
+		tableFollower.onRecovered(outage)
+	}
+	lwtlog.Info(tableFollower.gateway.logger, "store-regained", "table", tableFollower.table, "version", tableFollower.version,
+		"own-contact", now.Sub(ownUntil).Round(time.Millisecond), "contact-of-any", now.Sub(outage.Start).Round(time.Millisecond),
+		"expiry-possible", expiryPossible)
+}
+
 // fetch reads the table or its changes. It returns a function that applies them.
 func (tableFollower *tableFollower) fetch() (apply func(now time.Time), err error) {
 	if tableFollower.version == 0 || tableFollower.snapshotRequested.Swap(false) {
@@ -268,9 +286,9 @@
 	})
 }
 
-// followServers keeps the list of backend servers up to date until ctx is canceled.
-func (gateway *Gateway) followServers(ctx context.Context) error {
-	tableFollower := &tableFollower{
+// newServersFollower returns a follower of the list of backend servers.
+func (gateway *Gateway) newServersFollower() *tableFollower {
+	return &tableFollower{
 		gateway: gateway, table: platform.ServersTable(), coveredUntil: &gateway.serversCoveredUntil,
 		onRead:        func(sentAt time.Time) { raise(&gateway.serversCoveredUntil, sentAt) },
 		applySnapshot: gateway.applyServerSnapshot, applyChanges: gateway.applyServerRows,
@@ -280,6 +298,11 @@
 			})
 		},
 	}
+}
+
+// followServers keeps the list of backend servers up to date until ctx is canceled.
+func (gateway *Gateway) followServers(ctx context.Context) error {
+	tableFollower := gateway.newServersFollower()
 	gateway.serversFollower.Store(tableFollower)
 	go func() {
 		// The supervisor waits for run; the expiry ends with the same ctx.
@@ -352,7 +375,9 @@
 			servers = append(servers, server)
 		}
 		gateway.logServerChanges(serverSet, servers, "read")
-		return serverSet.WithSnapshot(now, servers)
+		next := serverSet.WithSnapshot(now, servers)
+		gateway.logMissing(serverSet, next, servers)
+		return next
 	})
 	gateway.announceChanges(returned)
 }
@@ -439,6 +464,20 @@
 	return next
 }
 
+// logMissing logs the servers of serverSet that are missing from a complete read of the entries.
+func (gateway *Gateway) logMissing(serverSet, next lwtdiscovery.ServerSet, read []lwtdiscovery.Server) {
+	listed := map[string]bool{}
+	for _, server := range read {
+		listed[server.ID] = true
+	}
+	for _, server := range serverSet.Servers() {
+		if !listed[server.ID] && !serverSet.Missing(server.ID) {
+			_, remains := next.Server(server.ID)
+			lwtlog.Info(gateway.logger, "server-unlisted", "server", server.ID, "kept", remains, "source", "read")
+		}
+	}
+}
+
 // logServerChanges logs the servers that differ from those in serverSet.
 func (gateway *Gateway) logServerChanges(
 	serverSet lwtdiscovery.ServerSet, servers []lwtdiscovery.Server, source string,
